--- /dev/null
+++ b/src/cardamomdyke/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as ``python -m cardamomdyke``."""
+
+from cardamomdyke.cli.commands import main
+
+main()
--- a/src/cardamomdyke/cli/commands.py
+++ b/src/cardamomdyke/cli/commands.py
@@ -45,6 +45,33 @@
     asyncio.run(run_daemon(settings, origins))
 
 
+def run_node_command(*extra: str, **flags: str) -> None:
+    """Run the daemon of this VM on the users' platform.
+
+    The platform's settings file is named by --config or by the environment
+    variable CARDAMOMDYKE_CONFIG.
+    """
+    import asyncio
+    import os
+
+    from cardamomdyke.control.app import load_settings, run_node
+    from cardamomdyke.platform.settings import SETTINGS_VARIABLE
+
+    path = flags.pop("config", os.environ.get(SETTINGS_VARIABLE, ""))
+    if "help" in flags:
+        print(run_node_command.__doc__)
+        return
+    if extra or flags or not path:
+        message = "node takes --config=PATH, or CARDAMOMDYKE_CONFIG, and nothing else"
+        fail_command(ProblemKind.BAD_COMMAND, message)
+    result = load_settings(path)
+    if result.is_error():
+        problem = result.error
+        print(f"{problem.kind}: {problem.message}; {problem.remedy}", file=sys.stderr)
+        sys.exit(EXIT_BAD_COMMAND)
+    asyncio.run(run_node(result.ok))
+
+
 def fail_command(kind: ProblemKind, message: str) -> NoReturn:
     """Print why a command failed, and exit."""
     problem = make_problem(kind, message)
@@ -56,6 +83,8 @@
     """Return what fire runs; the client is imported only when it is wanted."""
     if arguments[:1] == ["daemon"]:
         return {"daemon": run_daemon_command}
+    if arguments[:1] == ["node"]:
+        return {"node": run_node_command}
     from cardamomdyke.cli.client import Client
 
     return Client
@@ -78,7 +107,7 @@
         sys.stdout = None
         sys.exit(0)
     except Exception as error:
-        if arguments[:1] == ["daemon"]:
+        if arguments[:1] in (["daemon"], ["node"]):
             raise
         fail_command(ProblemKind.INTERNAL, f"{type(error).__name__}: {error}")
 
--- /dev/null
+++ b/src/cardamomdyke/control/__init__.py
@@ -0,0 +1,1 @@
+"""Loop of a daemon on the platform: ingress, feeds, leadership and calls."""
--- /dev/null
+++ b/src/cardamomdyke/control/app.py
@@ -0,0 +1,162 @@
+"""Wires the parts of a daemon on the platform together and runs its loop."""
+
+import asyncio
+import signal
+from pathlib import Path
+
+from expression import Result
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from cardamomdyke.adapters.http import make_http_client
+from cardamomdyke.control.clock import read_clock, read_unix_time
+from cardamomdyke.control.context import Context, OperatorState
+from cardamomdyke.control.driver import Planning
+from cardamomdyke.control.feeds import TopicFeed
+from cardamomdyke.control.ingress import (
+    make_caller_application,
+    make_readiness_application,
+)
+from cardamomdyke.control.journal import make_journal
+from cardamomdyke.control.leadership import Leadership
+from cardamomdyke.jobs.ledger import Ledger, apply_record
+from cardamomdyke.jobs.records import WORK_TOPIC
+from cardamomdyke.model.errors import Problem, ProblemKind, make_problem
+from cardamomdyke.platform.settings import NodeSettings, decode_settings
+from cardamomdyke.platform.store import OPERATOR_TOPIC, KeyedRecord, StoreClient
+
+# Long polls end after this time, so that a connection that went silent is
+# noticed; the configuration has to be in force within 2 s.
+POLL_SECONDS = 1.0
+# The balancer asks each second and needs two misses before it sends new
+# connections elsewhere.
+BALANCER_SECONDS = 2.5
+# Left of the time between SIGTERM and SIGKILL for the last answers.
+EXIT_MARGIN_SECONDS = 1.0
+IDLE_CONNECTION_SECONDS = 30.0
+LARGEST_BODY_BYTES = 1_048_576
+
+
+def load_settings(path: str) -> Result[NodeSettings, Problem]:
+    """Read the settings file that the platform has written."""
+    try:
+        data = Path(path).read_bytes()
+    except OSError as error:
+        message = f"the settings file {path} cannot be read: {error}"
+        return Result.Error(make_problem(ProblemKind.INVALID_SETTING, message))
+    return decode_settings(data)
+
+
+def make_context(settings: NodeSettings) -> Context:
+    """Build the shared parts of a daemon; needs a running loop."""
+    journal = make_journal(settings.vm)
+    http = make_http_client()
+    store = StoreClient(http, settings.store.address)
+    ledger = Ledger()
+    operator = OperatorState(journal)
+    work = TopicFeed(
+        store,
+        WORK_TOPIC,
+        journal,
+        apply=lambda record: None,
+        reset=lambda: None,
+        notify=lambda: None,
+        wait_seconds=POLL_SECONDS,
+    )
+    return Context(settings, http, store, journal, ledger, operator, work)
+
+
+def connect_ledger(context: Context, planning: Planning) -> None:
+    """Let the feed of jobs keep the ledger and the planner current."""
+
+    def apply(record: KeyedRecord) -> None:
+        change = apply_record(context.ledger, record.key, record.value)
+        if change.detail:
+            context.journal.write("record.malformed", record.key, detail=change.detail)
+        planning.note_change(change)
+
+    def reset() -> None:
+        context.ledger.jobs.clear()
+        context.ledger.cancelled.clear()
+        context.ledger.progress.clear()
+
+    context.work.apply = apply
+    context.work.reset = reset
+
+
+async def run_node(settings: NodeSettings) -> None:
+    """Serve until a termination signal, then drain and return."""
+    context = make_context(settings)
+    journal = context.journal
+    started = round(read_unix_time() * 1000)
+    leadership = Leadership(context.store, journal, f"{settings.vm}.{started}")
+    planning = Planning(context, leadership)
+    connect_ledger(context, planning)
+    operator_feed = TopicFeed(
+        context.store,
+        OPERATOR_TOPIC,
+        journal,
+        context.operator.apply,
+        context.operator.reset,
+        lambda: None,
+        wait_seconds=POLL_SECONDS,
+    )
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    servers = [
+        start_server(make_caller_application(context), settings.caller_address),
+        start_server(make_readiness_application(context), settings.readiness_address),
+    ]
+    joining = loop.create_task(leadership.join_forever())
+    tasks = [
+        loop.create_task(coroutine)
+        for coroutine in (
+            operator_feed.follow_forever(),
+            context.work.follow_forever(),
+            planning.run_forever(),
+        )
+    ]
+    journal.write("daemon.started", settings.vm, domain=settings.failure_domain)
+    await stop.wait()
+    joining.cancel()
+    await drain(context, leadership, servers)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(joining, *tasks, return_exceptions=True)
+    journal.write("daemon.stopped", settings.vm)
+
+
+def start_server(application: Application, address: str) -> HTTPServer:
+    """Listen on an address."""
+    host, _, port = address.rpartition(":")
+    server = HTTPServer(
+        application,
+        idle_connection_timeout=IDLE_CONNECTION_SECONDS,
+        max_body_size=LARGEST_BODY_BYTES,
+    )
+    server.listen(int(port), host)
+    return server
+
+
+async def drain(
+    context: Context, leadership: Leadership, servers: list[HTTPServer]
+) -> None:
+    """Hand the planning over, and serve on until the balancer has noticed."""
+    began = read_clock()
+    context.stopping = True
+    context.journal.write("daemon.draining", context.settings.vm)
+    await leadership.leave()
+    await asyncio.sleep(max(0.0, BALANCER_SECONDS - (read_clock() - began)))
+    for server in servers:
+        server.stop()
+    grace = context.settings.bounds.shutdown_grace_seconds - EXIT_MARGIN_SECONDS
+    left = max(0.1, grace - (read_clock() - began))
+    try:
+        closing = asyncio.gather(
+            *(server.close_all_connections() for server in servers)
+        )
+        await asyncio.wait_for(closing, left)
+    except TimeoutError:
+        context.journal.write("daemon.drain_cut", context.settings.vm)
--- /dev/null
+++ b/src/cardamomdyke/control/feeds.py
@@ -0,0 +1,158 @@
+"""Follows topics of the platform's store."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cardamomdyke.control.clock import read_clock
+from cardamomdyke.control.journal import Journal
+from cardamomdyke.platform.store import (
+    KeyedRecord,
+    NewestPage,
+    RecordPage,
+    StoreClient,
+    StoreFault,
+    StoreFaultKind,
+)
+
+# Pause after a failed read. Short against the 1 s after which a daemon that
+# cannot read reports that it is not ready.
+RETRY_SECONDS = 0.15
+
+
+@dataclass
+class TopicFeed:
+    """Follows one topic that keeps the newest record of each key.
+
+    Attributes
+    ----------
+    store : StoreClient
+        The platform's store.
+    topic : str
+        Name of the topic.
+    journal : Journal
+        Log of the daemon.
+    apply : callable
+        Takes each record, in order.
+    reset : callable
+        Forgets everything, before the newest records are applied.
+    notify : callable
+        Called after each page that held a record.
+    wait_seconds : float
+        Longest time that a read waits for a record.
+    pause_seconds : float
+        Time between two reads, so that records come in fewer reads.
+    next_offset : int or None
+        Offset of the next record; None before the first read.
+    answered_at : float
+        When the store last answered; 0 for never.
+    at_end : bool
+        True when the last page reached the end of the topic.
+    failing_since : float
+        When reads began to fail; 0 while they succeed.
+    """
+
+    store: StoreClient
+    topic: str
+    journal: Journal
+    apply: Callable[[KeyedRecord], None]
+    reset: Callable[[], None]
+    notify: Callable[[], None]
+    wait_seconds: float
+    pause_seconds: float = 0.0
+    next_offset: int | None = None
+    answered_at: float = 0.0
+    failing_since: float = 0.0
+    at_end: bool = False
+    syncing: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+    async def follow_forever(self) -> None:
+        """Read and apply records, until cancelled."""
+        while True:
+            if await self.read_once(self.wait_seconds):
+                await asyncio.sleep(self.pause_seconds)
+            else:
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def catch_up(self) -> bool:
+        """Apply everything that was in the topic when this was called."""
+        while await self.read_once(0.0):
+            if self.at_end:
+                return True
+        return False
+
+    async def read_once(self, wait_seconds: float) -> bool:
+        """Read one page and apply it; False when the store gave none."""
+        if self.next_offset is None:
+            return await self.read_newest()
+        offset = self.next_offset
+        result = await self.store.read_records(self.topic, offset, wait_seconds)
+        if result.is_ok():
+            self.note_success()
+            self.apply_page(offset, result.ok)
+            return True
+        if result.error.kind is StoreFaultKind.TRIMMED:
+            self.journal.write("feed.trimmed", self.topic, offset=offset)
+            return await self.read_newest()
+        self.note_failure(result.error)
+        return False
+
+    def apply_page(self, offset: int, page: RecordPage) -> None:
+        """Apply the records of a page that were not applied meanwhile."""
+        if self.next_offset is None:
+            return
+        self.at_end = page.next_offset >= page.end
+        if page.malformed:
+            self.journal.count("store.record_malformed", page.malformed)
+        if page.next_offset <= self.next_offset:
+            return
+        # A page with records that cannot be read does not tell their places, so
+        # it is applied whole; applying a record twice changes nothing.
+        known = 0 if page.malformed else max(0, self.next_offset - offset)
+        records = page.records[known:]
+        self.next_offset = page.next_offset
+        for record in records:
+            self.apply(record)
+        if records:
+            self.notify()
+
+    async def read_newest(self) -> bool:
+        """Replace everything known by the newest record of each key."""
+        async with self.syncing:
+            pages: list[NewestPage] = []
+            after = ""
+            while True:
+                result = await self.store.read_newest(self.topic, after)
+                if result.is_error():
+                    self.note_failure(result.error)
+                    return False
+                pages.append(result.ok)
+                if not result.ok.more or not result.ok.records:
+                    break
+                after = result.ok.records[-1].key
+            self.note_success()
+            self.reset()
+            for page in pages:
+                for record in page.records:
+                    self.apply(record)
+            # Later pages may hold newer records; reading on from the first
+            # page's end applies them again.
+            self.next_offset = pages[0].end
+            self.at_end = False
+            self.notify()
+            return True
+
+    def note_success(self) -> None:
+        """Remember that a read succeeded."""
+        self.answered_at = read_clock()
+        if self.failing_since:
+            silent = round(read_clock() - self.failing_since, 3)
+            self.journal.write("feed.regained", self.topic, silent=silent)
+        self.failing_since = 0.0
+
+    def note_failure(self, fault: StoreFault) -> None:
+        """Remember that a read failed."""
+        self.journal.count("store.read_failed")
+        if not self.failing_since:
+            self.failing_since = read_clock()
+            self.journal.write("feed.lost", self.topic, detail=fault.detail)
--- /dev/null
+++ b/src/cardamomdyke/control/leadership.py
@@ -0,0 +1,116 @@
+"""Decides by the store's group which daemon plans."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cardamomdyke.control.clock import read_clock
+from cardamomdyke.control.journal import Journal
+from cardamomdyke.platform.store import Membership, StoreClient
+
+GROUP = "planner"
+# The group shares this topic's partitions; nothing is ever appended to it.
+GROUP_TOPIC = "planner"
+PLANNER_PARTITION = 0
+# Time without a planner after a kill, at most. Four joins fit into it, so lost
+# answers of the store do not end a planner's term.
+MEMBERSHIP_SECONDS = 2.0
+JOIN_PERIOD_SECONDS = 0.4
+# The right to plan ends this much earlier than the store's count, for clocks
+# that run at different speeds.
+RIGHT_MARGIN_SECONDS = 0.1
+
+
+@dataclass
+class Leadership:
+    """The daemon's part in the group of planners.
+
+    Attributes
+    ----------
+    store : StoreClient
+        The platform's store.
+    journal : Journal
+        Log of the daemon.
+    member : str
+        Name of this daemon's incarnation.
+    membership_seconds : float
+        Time after which a silent member loses its partitions.
+    generation : int
+        Newest generation of the group that was seen.
+    term : int
+        Generation at which this daemon began to plan; 0 while it does not.
+    right_until : float
+        Time until which this daemon may give orders.
+    changed : asyncio.Event
+        Set when a term begins or ends.
+    """
+
+    store: StoreClient
+    journal: Journal
+    member: str
+    membership_seconds: float = MEMBERSHIP_SECONDS
+    generation: int = 0
+    term: int = 0
+    right_until: float = 0.0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    clock: Callable[[], float] = read_clock
+
+    @property
+    def may_order(self) -> bool:
+        """Whether this daemon may give orders to backend servers now."""
+        return self.term > 0 and self.clock() < self.right_until
+
+    async def join_forever(self) -> None:
+        """Stay in the group, until cancelled."""
+        while True:
+            sent_at = self.clock()
+            result = await self.store.join_group(
+                GROUP,
+                self.member,
+                GROUP_TOPIC,
+                self.membership_seconds,
+                self.generation,
+            )
+            if result.is_ok():
+                self.note_joined(result.ok, sent_at)
+            else:
+                self.journal.count("group.join_failed")
+            spent = self.clock() - sent_at
+            await asyncio.sleep(max(0.0, JOIN_PERIOD_SECONDS - spent))
+
+    def note_joined(self, membership: Membership, sent_at: float) -> None:
+        """Begin, keep or end a term, as the store's answer says."""
+        lapsed = self.clock() >= self.right_until
+        changed = membership.generation != self.generation
+        self.generation = membership.generation
+        if PLANNER_PARTITION not in membership.partitions:
+            self.end_term("another daemon plans")
+            return
+        if self.term and lapsed and changed:
+            # Someone else may have planned in between.
+            self.end_term("the group changed after the right had lapsed")
+        self.right_until = sent_at + self.membership_seconds - RIGHT_MARGIN_SECONDS
+        if not self.term:
+            self.term = membership.generation
+            self.journal.write("planner.elected", self.member, term=self.term)
+            self.changed.set()
+
+    def end_term(self, reason: str) -> None:
+        """Stop planning."""
+        if not self.term:
+            return
+        self.journal.write(
+            "planner.term_ended", self.member, term=self.term, reason=reason
+        )
+        self.term = 0
+        self.right_until = 0.0
+        self.changed.set()
+
+    async def leave(self) -> None:
+        """Leave the group, so that another daemon plans at once."""
+        self.end_term("this daemon shuts down")
+        result = await self.store.leave_group(GROUP, self.member)
+        if result.is_error():
+            self.journal.write(
+                "planner.leave_failed", self.member, detail=result.error.detail
+            )
--- /dev/null
+++ b/src/cardamomdyke/control/recorder.py
@@ -0,0 +1,107 @@
+"""Appends the planner's progress under its fencing epoch."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from cardamomdyke.control.journal import Journal
+from cardamomdyke.jobs.records import WORK_TOPIC
+from cardamomdyke.platform.store import (
+    KeyedRecord,
+    Producer,
+    StoreClient,
+    StoreFault,
+    StoreFaultKind,
+)
+
+PRODUCER = "planner"
+RETRY_SECONDS = 0.1
+# Room for lengths and keys beside the values of one append.
+FRAME_BYTES = 64
+
+
+@dataclass
+class Recorder:
+    """Appends of one planner's term, one at a time and in order.
+
+    Attributes
+    ----------
+    store : StoreClient
+        The platform's store.
+    journal : Journal
+        Log of the daemon.
+    epoch : int
+        Fencing epoch of the term.
+    append_limit_bytes : int
+        Largest sum of the records of one append.
+    in_charge : callable
+        Tells whether the term still lasts.
+    sequence : int
+        Number of the next append.
+    """
+
+    store: StoreClient
+    journal: Journal
+    epoch: int
+    append_limit_bytes: int
+    in_charge: Callable[[], bool]
+    sequence: int = 0
+
+    async def fence_earlier(self) -> bool:
+        """Keep earlier planners from appending; False when this one may not."""
+        return await self.append_until_done(())
+
+    async def record(self, records: Sequence[KeyedRecord]) -> bool:
+        """Append records; False when a later planner has taken over."""
+        for part in split_records(records, self.append_limit_bytes):
+            if not await self.append_until_done(part):
+                return False
+        return True
+
+    async def append_until_done(self, records: Sequence[KeyedRecord]) -> bool:
+        """Repeat one append until the store has answered it.
+
+        The store recognises a repeated append by its sequence number, so records
+        are appended once even when answers are lost.
+        """
+        while self.in_charge():
+            producer = Producer(PRODUCER, self.epoch, self.sequence)
+            result = await self.store.append_records(WORK_TOPIC, records, producer)
+            if result.is_ok():
+                self.sequence += 1
+                return True
+            fault = result.error
+            if fault.kind is StoreFaultKind.FENCED:
+                self.journal.write("planner.fenced", PRODUCER, epoch=self.epoch)
+                return False
+            self.note_fault(fault)
+            await asyncio.sleep(RETRY_SECONDS)
+        return False
+
+    def note_fault(self, fault: StoreFault) -> None:
+        """Count a failed append, and take over the sequence that is expected."""
+        self.journal.count("store.append_failed")
+        if fault.kind is StoreFaultKind.OUT_OF_SEQUENCE:
+            self.journal.write(
+                "planner.out_of_sequence",
+                PRODUCER,
+                sent=self.sequence,
+                expected=fault.sequence,
+            )
+            self.sequence = fault.sequence
+
+
+def split_records(
+    records: Sequence[KeyedRecord], limit_bytes: int
+) -> list[list[KeyedRecord]]:
+    """Split records so that each part fits into one append."""
+    parts: list[list[KeyedRecord]] = []
+    size = 0
+    for record in records:
+        cost = len(record.value) + len(record.key) + FRAME_BYTES
+        if not parts or size + cost > limit_bytes:
+            parts.append([])
+            size = 0
+        parts[-1].append(record)
+        size += cost
+    return parts
--- /dev/null
+++ b/src/cardamomdyke/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs as the platform's store keeps them: records and their fold."""
--- /dev/null
+++ b/src/cardamomdyke/planner/__init__.py
@@ -0,0 +1,1 @@
+"""Planner of the platform's backend servers: pure decisions on jobs and runs."""
--- /dev/null
+++ b/src/cardamomdyke/planner/contacts.py
@@ -0,0 +1,469 @@
+"""What answers of backend servers, and their silence, say about runs."""
+
+from collections.abc import Iterable
+
+from cardamomdyke.model.orders import Shape, TaskId
+from cardamomdyke.model.servers import (
+    CallFault,
+    EndKind,
+    EndReport,
+    RefusalKind,
+    RunLists,
+    RunReport,
+    ServerEntry,
+)
+from cardamomdyke.planner.actions import LookOrder, SendStart, SendStop
+from cardamomdyke.planner.attempts import (
+    abort_attempt,
+    end_member,
+    send_stop,
+    stop_member,
+)
+from cardamomdyke.planner.leases import (
+    ClockReading,
+    estimate_clock,
+    find_lapse,
+    find_unread_lapse,
+)
+from cardamomdyke.planner.state import (
+    Job,
+    Member,
+    MemberPhase,
+    PlannerState,
+    Server,
+    Unit,
+    find_unit,
+    list_holders,
+)
+
+# Long poll of a server with runs. Each look renews the lease, so this is also
+# the time by which a lease is shorter than the limit when contact is lost.
+LOOK_WAIT_SECONDS = 1.0
+# A start without an answer is repeated for this long; it is a part of the time
+# that the members of a gang wait for each other (3 s).
+START_PATIENCE_SECONDS = 1.6
+# The lease that a start itself carries. A start that is carried out later than
+# this is refused, so a lost order does no harm afterwards.
+START_LEASE_SECONDS = 1.5
+STOP_REPEAT_SECONDS = 0.8
+# A server that refused a start is left alone for this long.
+UNWELL_SECONDS = 1.0
+# The platform lists at most this many ends in one answer.
+ENDS_IN_ANSWER = 500
+
+
+def update_servers(
+    state: PlannerState, entries: Iterable[ServerEntry], now: float
+) -> None:
+    """Take over what the store lists of backend servers.
+
+    Parameters
+    ----------
+    state : PlannerState
+        Changed in place.
+    entries : iterable of ServerEntry
+        All servers that the store lists now.
+    now : float
+        Seconds of the loop's clock.
+    """
+    listed = {entry.name: entry for entry in entries}
+    for name, entry in listed.items():
+        server = state.servers.get(name)
+        if server is None:
+            server = state.servers[name] = Server(entry)
+            server.inherited_until = find_unread_lapse(
+                state.took_over_at, state.limits.lease_seconds
+            )
+        elif entry.draining and not server.entry.draining:
+            state.note("server.draining", name, remaining=entry.remaining_seconds)
+        server.entry = entry
+        server.listed = True
+    for name, server in list(state.servers.items()):
+        if name in listed:
+            continue
+        if server.listed:
+            server.listed = False
+            state.note("server.unlisted", name, holders=len(server.holders))
+        if not server.holders and not server.strays:
+            del state.servers[name]
+
+
+def describe_look(
+    state: PlannerState, server: Server, now: float, may_grant: bool
+) -> LookOrder:
+    """Say how to look at a server next, and remember the lease that is granted."""
+    lease_until = None
+    if may_grant and server.reading is not None:
+        clock = estimate_clock(server.reading, now)
+        lease_until = clock + state.limits.lease_seconds
+        server.lease_until = max(server.lease_until, lease_until)
+    busy = bool(server.holders or server.strays)
+    waits = busy and server.noted == server.acknowledged
+    return LookOrder(
+        server.acknowledged, lease_until, LOOK_WAIT_SECONDS if waits else 0.0
+    )
+
+
+def describe_start(server: Server, now: float) -> float | None:
+    """Return the lease of a start on the server's clock, and remember it."""
+    if server.reading is None:
+        return None
+    lease_until = estimate_clock(server.reading, now) + START_LEASE_SECONDS
+    server.lease_until = max(server.lease_until, lease_until)
+    return lease_until
+
+
+def note_look(
+    state: PlannerState, name: str, sent_at: float, lists: RunLists, now: float
+) -> None:
+    """Take a server's lists into account.
+
+    Parameters
+    ----------
+    state : PlannerState
+        Changed in place.
+    name : str
+        Name of the server.
+    sent_at : float
+        When the look was sent.
+    lists : RunLists
+        The answer.
+    now : float
+        Seconds of the loop's clock.
+    """
+    server = state.servers.get(name)
+    if server is None:
+        return
+    if server.failing_since:
+        state.note("server.regained", name, silent=round(now - server.failing_since, 3))
+    server.failing_since = 0.0
+    server.contact_at = now
+    if server.reading is None or lists.life != server.life:
+        # Nobody can have granted a longer lease than this.
+        server.lease_until = lists.clock_seconds + state.limits.lease_seconds
+    server.reading = ClockReading(lists.clock_seconds, now)
+    if lists.life != server.life:
+        begin_life(state, server, lists, sent_at, now)
+    for end in sorted(lists.ended, key=lambda item: item.number):
+        if end.number > server.noted:
+            note_end(state, server, end, now)
+            server.noted = end.number
+    present = set()
+    for report in lists.running:
+        present.add((report.task, report.run))
+        note_running(state, server, report, now)
+    for stray in [item for item in server.strays if item not in present]:
+        del server.strays[stray]
+    if len(lists.ended) < ENDS_IN_ANSWER:
+        note_absent(state, server, present, sent_at, now)
+
+
+def begin_life(
+    state: PlannerState, server: Server, lists: RunLists, sent_at: float, now: float
+) -> None:
+    """Give up what ran in a server's former life."""
+    former = server.life
+    server.life = lists.life
+    if not former:
+        return
+    state.note("server.reborn", server.entry.name, former=former, life=lists.life)
+    server.noted = server.acknowledged = 0
+    server.strays.clear()
+    server.failures = 0
+    present = {(report.task, report.run) for report in lists.running}
+    for job, unit, member in list_holders(state, server):
+        if unit.attempt is None or member.phase is not MemberPhase.RUNNING:
+            continue
+        task = job.task_of(unit, member.index)
+        if (task, unit.attempt.run) not in present and member.confirmed_at <= sent_at:
+            end_member(state, job, unit, member, None, now)
+
+
+def find_member(
+    state: PlannerState, server: Server, task: TaskId, run: int
+) -> tuple[Job, Unit, Member] | None:
+    """Return the member that a run on a server belongs to."""
+    job, unit = find_unit(state, task)
+    if job is None or unit is None:
+        return None
+    attempt = unit.attempt
+    if attempt is None or attempt.run != run:
+        return None
+    member = attempt.members.get(task.index)
+    if member is None or member.server != server.entry.name:
+        return None
+    if member.phase is MemberPhase.ENDED:
+        return None
+    return job, unit, member
+
+
+def note_end(state: PlannerState, server: Server, end: EndReport, now: float) -> None:
+    """Take an end into account; one that nobody waits for is left out."""
+    server.strays.pop((end.task, end.run), None)
+    found = find_member(state, server, end.task, end.run)
+    if found is None:
+        return
+    job, unit, member = found
+    if end.checkpoint:
+        unit.checkpoint = end.checkpoint
+    if end.kind is EndKind.FAILED:
+        server.failures += 1
+    elif end.kind is EndKind.DONE:
+        server.failures = 0
+    note_begun(state, job)
+    end_member(state, job, unit, member, end.kind, now)
+
+
+def note_begun(state: PlannerState, job: Job) -> None:
+    """Take note that a task of a job has started."""
+    if job.begun:
+        return
+    job.begun = True
+    state.mark_changed(job)
+
+
+def note_running(
+    state: PlannerState, server: Server, report: RunReport, now: float
+) -> None:
+    """Take a listed run into account; one that nobody wants is stopped."""
+    found = find_member(state, server, report.task, report.run)
+    if found is None:
+        note_stray(state, server, report)
+        return
+    job, unit, member = found
+    if report.checkpoint:
+        unit.checkpoint = report.checkpoint
+    confirm_member(state, job, unit, member, server, now)
+
+
+def note_stray(state: PlannerState, server: Server, report: RunReport) -> None:
+    """Count the room of a run that no attempt knows, and stop it."""
+    key = (report.task, report.run)
+    if key not in server.strays:
+        job, unit = find_unit(state, report.task)
+        room = server.entry.capacity
+        if job is not None and unit is not None:
+            room = job.step_of(unit).shape
+        server.strays[key] = room
+        state.note("run.unknown", report.task.job_id, server=server.entry.name)
+    state.actions.append(SendStop(server.entry.name, report.task, report.run))
+
+
+def confirm_member(
+    state: PlannerState,
+    job: Job,
+    unit: Unit,
+    member: Member,
+    server: Server,
+    now: float,
+) -> None:
+    """Take note that a member's run is on its server."""
+    member.confirmed_at = now
+    member.may_arrive = False
+    member.life = server.life
+    if member.phase is MemberPhase.STARTING:
+        member.phase = MemberPhase.RUNNING
+        note_begun(state, job)
+    if member.stop_wanted and not member.stop_sent_at:
+        send_stop(state, job, unit, member, now)
+
+
+def note_absent(
+    state: PlannerState,
+    server: Server,
+    present: set[tuple[TaskId, int]],
+    sent_at: float,
+    now: float,
+) -> None:
+    """Give up members that a look proves to be neither there nor coming."""
+    for job, unit, member in list_holders(state, server):
+        attempt = unit.attempt
+        if attempt is None or member.phase is MemberPhase.ENDED:
+            continue
+        if (job.task_of(unit, member.index), attempt.run) in present:
+            continue
+        if check_gone(member, sent_at):
+            state.note(
+                "run.gone",
+                job.job_id,
+                unit=unit.key,
+                run=attempt.run,
+                server=server.entry.name,
+                phase=member.phase.value,
+            )
+            end_member(state, job, unit, member, None, now)
+
+
+def check_gone(member: Member, sent_at: float) -> bool:
+    """Tell whether a member that a look does not list is over.
+
+    A run that was confirmed before the look was sent would be listed. A start of
+    an earlier planner is refused once the server has seen this planner's fencing
+    token, which the look carried. A stop that was confirmed before the look was
+    sent keeps a start from being carried out later.
+    """
+    if member.phase is MemberPhase.RUNNING:
+        return member.confirmed_at < sent_at
+    if member.phase is MemberPhase.STARTING:
+        stopped = 0 < member.stop_confirmed_at < sent_at
+        return member.inherited or stopped
+    return False
+
+
+def note_look_fault(
+    state: PlannerState, name: str, fault: CallFault, now: float
+) -> None:
+    """Take a look without an answer into account."""
+    server = state.servers.get(name)
+    if server is None:
+        return
+    if fault.refusal is RefusalKind.FENCE:
+        state.superseded = True
+        return
+    if not server.failing_since:
+        server.failing_since = now
+        state.note("server.lost", name, detail=fault.detail)
+    if fault.refusal is RefusalKind.OTHER_LIFE:
+        give_up_server(state, server, "another server has its address", now)
+        server.listed = False
+
+
+def note_start(
+    state: PlannerState,
+    name: str,
+    task: TaskId,
+    run: int,
+    fault: CallFault | None,
+    now: float,
+) -> None:
+    """Take the answer to a start into account.
+
+    Parameters
+    ----------
+    state : PlannerState
+        Changed in place.
+    name : str
+        Name of the server.
+    task : TaskId
+        The task.
+    run : int
+        Number of the run.
+    fault : CallFault or None
+        None when the server has confirmed the run.
+    now : float
+        Seconds of the loop's clock.
+    """
+    server = state.servers.get(name)
+    found = find_member(state, server, task, run) if server else None
+    if server is None or found is None:
+        return
+    job, unit, member = found
+    if fault is None:
+        confirm_member(state, job, unit, member, server, now)
+        return
+    if fault.refusal is RefusalKind.FENCE:
+        state.superseded = True
+        return
+    if member.phase is not MemberPhase.STARTING:
+        return
+    if fault.refusal is RefusalKind.OLD:
+        # The run ended or was stopped there; the next look tells which.
+        member.stop_wanted = True
+        member.stop_confirmed_at = now
+        return
+    if not fault.certain:
+        member.may_arrive = True
+    repeats = not fault.certain or fault.refusal is RefusalKind.LATE
+    if repeats and not member.stop_wanted:
+        if now - member.sent_at < START_PATIENCE_SECONDS:
+            state.actions.append(SendStart(name, task, run))
+            return
+    refuse_member(state, job, unit, member, server, fault, now)
+
+
+def refuse_member(
+    state: PlannerState,
+    job: Job,
+    unit: Unit,
+    member: Member,
+    server: Server,
+    fault: CallFault,
+    now: float,
+) -> None:
+    """Give up the start of a member, and with it the attempt."""
+    server.unwell_until = now + UNWELL_SECONDS
+    unit.avoided.add(server.entry.name)
+    state.note(
+        "start.refused",
+        job.job_id,
+        unit=unit.key,
+        server=server.entry.name,
+        detail=fault.detail,
+    )
+    if member.may_arrive:
+        stop_member(state, job, unit, member, now)
+        abort_attempt(state, job, unit, "a start was not confirmed", now)
+        return
+    end_member(state, job, unit, member, None, now)
+
+
+def note_stop(
+    state: PlannerState,
+    name: str,
+    task: TaskId,
+    run: int,
+    fault: CallFault | None,
+    now: float,
+) -> None:
+    """Take the answer to a stop into account."""
+    server = state.servers.get(name)
+    if fault is not None:
+        if fault.refusal is RefusalKind.FENCE:
+            state.superseded = True
+        return
+    found = find_member(state, server, task, run) if server else None
+    if found is not None:
+        found[2].stop_confirmed_at = now
+
+
+def let_time_pass(state: PlannerState, now: float) -> None:
+    """Repeat stops without an answer, and give up servers whose leases lapsed."""
+    for server in list(state.servers.values()):
+        for job, unit, member in list_holders(state, server):
+            repeats = member.stop_wanted and not member.stop_confirmed_at
+            waited = now - member.stop_sent_at >= STOP_REPEAT_SECONDS
+            if repeats and member.phase is not MemberPhase.ENDED and waited:
+                send_stop(state, job, unit, member, now)
+        silent = server.failing_since > 0
+        if silent and server.holders and now >= find_server_lapse(state, server):
+            give_up_server(state, server, "its leases have lapsed", now)
+
+
+def find_server_lapse(state: PlannerState, server: Server) -> float:
+    """Return when everything on a silent server is certainly over."""
+    if server.reading is None:
+        return server.inherited_until
+    return find_lapse(server.reading, server.lease_until)
+
+
+def give_up_server(
+    state: PlannerState, server: Server, reason: str, now: float
+) -> None:
+    """Free everything that was on a server."""
+    state.note(
+        "server.given_up", server.entry.name, reason=reason, holders=len(server.holders)
+    )
+    server.strays.clear()
+    for job, unit, member in list_holders(state, server):
+        end_member(state, job, unit, member, EndKind.LAPSED, now)
+
+
+def measure_free(server: Server) -> Shape:
+    """Return the room of a server that nothing holds."""
+    used = [*server.holders.values(), *server.strays.values()]
+    capacity = server.entry.capacity
+    return Shape(
+        capacity.millicores - sum(item.millicores for item in used),
+        capacity.memory_mb - sum(item.memory_mb for item in used),
+        capacity.accelerators - sum(item.accelerators for item in used),
+    )
--- /dev/null
+++ b/src/cardamomdyke/planner/placement.py
@@ -0,0 +1,172 @@
+"""Finds room for units on backend servers."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from cardamomdyke.model.orders import Shape, StepOrder
+from cardamomdyke.planner.contacts import measure_free
+from cardamomdyke.planner.state import PlannerState, Server
+
+# A server that has not answered for this long takes nothing new.
+FRESH_CONTACT_SECONDS = 3.0
+
+
+@dataclass(slots=True)
+class Room:
+    """Room of one server while a plan is made.
+
+    Attributes
+    ----------
+    name : str
+        Name of the server.
+    rack : str
+        Its rack.
+    labels : tuple of str
+        Its labels.
+    millicores, memory_mb, accelerators : int
+        What is free.
+    """
+
+    name: str
+    rack: str
+    labels: tuple[str, ...]
+    millicores: int
+    memory_mb: int
+    accelerators: int
+
+
+@dataclass(slots=True)
+class Rooms:
+    """Room of the servers of a pool that take new work.
+
+    Attributes
+    ----------
+    by_name : dict of str to Room
+        Rooms by server.
+    """
+
+    by_name: dict[str, Room] = field(default_factory=dict)
+
+
+def open_rooms(state: PlannerState, pool: str, now: float) -> Rooms:
+    """Return the free room of a pool's servers that take new work."""
+    rooms = Rooms()
+    for name, server in state.servers.items():
+        if check_usable(state, server, pool, now):
+            free = measure_free(server)
+            rooms.by_name[name] = Room(
+                name,
+                server.entry.rack,
+                server.entry.labels,
+                free.millicores,
+                free.memory_mb,
+                free.accelerators,
+            )
+    return rooms
+
+
+def check_usable(state: PlannerState, server: Server, pool: str, now: float) -> bool:
+    """Tell whether a server of a pool takes new work."""
+    entry = server.entry
+    if entry.pool != pool or not server.listed or entry.draining:
+        return False
+    if entry.failure_domain in state.evacuated:
+        return False
+    in_touch = not server.failing_since and server.reading is not None
+    fresh = now - server.contact_at <= FRESH_CONTACT_SECONDS
+    return in_touch and fresh and server.unwell_until <= now
+
+
+def count_fits(room: Room, shape: Shape) -> int:
+    """Return how many tasks of a shape a room holds."""
+    fits = [
+        have // need
+        for have, need in (
+            (room.millicores, shape.millicores),
+            (room.memory_mb, shape.memory_mb),
+            (room.accelerators, shape.accelerators),
+        )
+        if need > 0
+    ]
+    return max(0, min(fits, default=0))
+
+
+def take_room(room: Room, shape: Shape, count: int = 1) -> None:
+    """Take the room of some tasks; a negative count gives it back."""
+    room.millicores -= shape.millicores * count
+    room.memory_mb -= shape.memory_mb * count
+    room.accelerators -= shape.accelerators * count
+
+
+def find_places(
+    rooms: Rooms,
+    step: StepOrder,
+    count: int,
+    placed: Mapping[str, int],
+    avoided: Iterable[str] = (),
+) -> list[str] | None:
+    """Find a server for each of some tasks of a step, without taking the room.
+
+    Parameters
+    ----------
+    rooms : Rooms
+        Free room.
+    step : StepOrder
+        What the tasks need.
+    count : int
+        Number of tasks.
+    placed : mapping of str to int
+        Tasks of the step that each server has already.
+    avoided : iterable of str
+        Servers that are used only when the others do not suffice.
+
+    Returns
+    -------
+    list of str or None
+        One name for each task; None when they do not fit together.
+    """
+    left_out = set(avoided)
+    allowed = [
+        room
+        for room in rooms.by_name.values()
+        if not step.required_label or step.required_label in room.labels
+    ]
+    preferred = [room for room in allowed if room.name not in left_out]
+    found = find_in_groups(preferred, step, count, placed)
+    if found is None and len(preferred) < len(allowed):
+        found = find_in_groups(allowed, step, count, placed)
+    return found
+
+
+def find_in_groups(
+    allowed: list[Room], step: StepOrder, count: int, placed: Mapping[str, int]
+) -> list[str] | None:
+    """Find places within one rack when the step asks for it, else anywhere."""
+    if not (step.rack_sensitive and count > 1):
+        return fill_tightest(allowed, step, count, placed)
+    racks: dict[str, list[Room]] = {}
+    for room in allowed:
+        racks.setdefault(room.rack, []).append(room)
+    best: list[str] | None = None
+    best_free = 0
+    for group in racks.values():
+        found = fill_tightest(group, step, count, placed)
+        free = sum(room.accelerators for room in group)
+        if found is not None and (best is None or free < best_free):
+            best, best_free = found, free
+    return best
+
+
+def fill_tightest(
+    group: list[Room], step: StepOrder, count: int, placed: Mapping[str, int]
+) -> list[str] | None:
+    """Fill the rooms with the fewest free accelerators first."""
+    names: list[str] = []
+    for room in sorted(group, key=lambda item: (item.accelerators, item.name)):
+        fits = count_fits(room, step.shape)
+        if step.server_limit:
+            fits = min(fits, step.server_limit - placed.get(room.name, 0))
+        names += [room.name] * min(fits, count - len(names))
+        if len(names) == count:
+            return names
+    return None
--- /dev/null
+++ b/src/cardamomdyke/planner/progress.py
@@ -0,0 +1,236 @@
+"""Records the planner's progress, and restores it after a takeover."""
+
+from dataclasses import dataclass
+
+from cardamomdyke.jobs.ledger import Ledger
+from cardamomdyke.jobs.records import (
+    FINAL_PHASES,
+    GANG,
+    JobPhase,
+    JobProgress,
+    JobRecord,
+    MemberRecord,
+    UnitRecord,
+)
+from cardamomdyke.model.orders import Shape
+from cardamomdyke.model.servers import ServerEntry
+from cardamomdyke.planner.actions import SendStart
+from cardamomdyke.planner.attempts import abort_attempt, cancel_job, end_job
+from cardamomdyke.planner.leases import find_unread_lapse
+from cardamomdyke.planner.state import (
+    Attempt,
+    Job,
+    Member,
+    MemberPhase,
+    PlannerState,
+    Server,
+    Unit,
+    UnitKey,
+    make_units,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """Progress to record in one append, and what follows from it.
+
+    Attributes
+    ----------
+    progress : dict of str to JobProgress
+        Progress by job id.
+    starts : tuple of (str, UnitKey, int)
+        Job, unit and run of the attempts that may start once this is recorded.
+    noted : dict of str to (int, int)
+        For each server its life and the last end whose effect this records.
+    """
+
+    progress: dict[str, JobProgress]
+    starts: tuple[tuple[str, UnitKey, int], ...]
+    noted: dict[str, tuple[int, int]]
+
+
+def describe_progress(job: Job) -> JobProgress:
+    """Return what has to be recorded of a job."""
+    phase = job.phase
+    if phase is JobPhase.QUEUED and job.begun:
+        phase = JobPhase.RUNNING
+    units = tuple(describe_unit(unit) for unit in job.units.values() if unit.last_run)
+    return JobProgress(phase, job.begun, job.ended_at, units)
+
+
+def describe_unit(unit: Unit) -> UnitRecord:
+    """Return what has to be recorded of a unit."""
+    members: tuple[MemberRecord, ...] = ()
+    if unit.attempt is not None:
+        members = tuple(
+            MemberRecord(member.index, member.server, member.life)
+            for member in unit.attempt.members.values()
+            if member.phase is not MemberPhase.ENDED
+        )
+    occurrence, step, index = unit.key
+    return UnitRecord(
+        occurrence,
+        step,
+        index,
+        unit.done,
+        unit.last_run,
+        tuple(sorted(unit.failed_runs)),
+        unit.checkpoint,
+        members,
+    )
+
+
+def take_batch(state: PlannerState) -> Batch | None:
+    """Return what has to be recorded now, or None when there is nothing."""
+    noted = {
+        name: (server.life, server.noted)
+        for name, server in state.servers.items()
+        if server.noted > server.acknowledged
+    }
+    if not state.changed and not noted:
+        return None
+    progress: dict[str, JobProgress] = {}
+    starts: list[tuple[str, UnitKey, int]] = []
+    for job_id in state.changed:
+        job = state.jobs[job_id]
+        progress[job_id] = describe_progress(job)
+        for unit in job.units.values():
+            if unit.attempt is not None and is_planned(unit.attempt):
+                starts.append((job_id, unit.key, unit.attempt.run))
+    state.changed.clear()
+    return Batch(progress, tuple(starts), noted)
+
+
+def is_planned(attempt: Attempt) -> bool:
+    """Tell whether some member of an attempt waits for the record."""
+    return any(
+        member.phase is MemberPhase.PLANNED for member in attempt.members.values()
+    )
+
+
+def note_recorded(state: PlannerState, batch: Batch, now: float) -> None:
+    """Send the starts of a batch, and let its ends be acknowledged."""
+    for name, (life, number) in batch.noted.items():
+        server = state.servers.get(name)
+        if server is not None and server.life == life:
+            server.acknowledged = max(server.acknowledged, number)
+    for job_id, key, run in batch.starts:
+        job = state.jobs.get(job_id)
+        attempt = job.units[key].attempt if job is not None else None
+        if job is None or attempt is None or attempt.run != run:
+            continue
+        send_starts(state, job, job.units[key], attempt, now)
+    for job_id in batch.progress:
+        forget_job(state, job_id)
+
+
+def send_starts(
+    state: PlannerState, job: Job, unit: Unit, attempt: Attempt, now: float
+) -> None:
+    """Send the starts of a recorded attempt."""
+    for member in attempt.members.values():
+        if member.phase is MemberPhase.PLANNED:
+            member.phase = MemberPhase.STARTING
+            member.sent_at = now
+            task = job.task_of(unit, member.index)
+            state.actions.append(SendStart(member.server, task, attempt.run))
+
+
+def forget_job(state: PlannerState, job_id: str) -> None:
+    """Drop a job that has ended, whose runs are over and whose end is recorded."""
+    job = state.jobs.get(job_id)
+    if job is None or not job.over or job_id in state.changed:
+        return
+    if all(unit.attempt is None for unit in job.units.values()):
+        del state.jobs[job_id]
+
+
+def add_job(state: PlannerState, record: JobRecord, now: float) -> None:
+    """Take over a newly accepted job."""
+    if record.job_id in state.jobs:
+        return
+    state.jobs[record.job_id] = Job(record, now, make_units(record))
+
+
+def restore_jobs(state: PlannerState, ledger: Ledger, now: float) -> None:
+    """Take over all jobs that have not ended or still hold room.
+
+    Parameters
+    ----------
+    state : PlannerState
+        A new state; the listed servers are known.
+    ledger : Ledger
+        Everything recorded before this planner's fence.
+    now : float
+        Seconds of the loop's clock.
+    """
+    for job_id, record in ledger.jobs.items():
+        progress = ledger.progress.get(job_id)
+        if progress is not None and check_over(progress):
+            continue
+        waited = max(0.0, now + state.unix_offset - record.accepted_at)
+        job = Job(record, now - waited, make_units(record))
+        state.jobs[job_id] = job
+        if progress is not None:
+            restore_progress(state, job, progress, now)
+        if job_id in ledger.cancelled and not job.over:
+            cancel_job(state, job_id, now)
+        elif not job.over and all(unit.done for unit in job.units.values()):
+            end_job(state, job, JobPhase.COMPLETED, "every task is done", now)
+
+
+def check_over(progress: JobProgress) -> bool:
+    """Tell whether a job has ended and holds no room any more."""
+    held = any(unit.members for unit in progress.units)
+    return progress.phase in FINAL_PHASES and not held
+
+
+def restore_progress(
+    state: PlannerState, job: Job, progress: JobProgress, now: float
+) -> None:
+    """Take over what is recorded of a job."""
+    job.phase = progress.phase
+    job.begun = progress.begun
+    job.ended_at = progress.ended_at
+    for record in progress.units:
+        unit = job.units.get((record.occurrence, record.step, record.index))
+        if unit is None:
+            continue
+        unit.done = record.done
+        unit.last_run = record.run
+        unit.failed_runs = set(record.failed_runs)
+        unit.checkpoint = record.checkpoint
+        if record.members:
+            restore_attempt(state, job, unit, record, now)
+
+
+def restore_attempt(
+    state: PlannerState, job: Job, unit: Unit, record: UnitRecord, now: float
+) -> None:
+    """Take over an attempt whose runs may be under way."""
+    members = {}
+    shape = job.step_of(unit).shape
+    for item in record.members:
+        member = Member(item.index, item.server, item.life, inherited=True)
+        member.phase = MemberPhase.STARTING
+        member.sent_at = now
+        members[item.index] = member
+        server = find_server(state, item.server, now)
+        server.holders[(job.job_id, unit.key, item.index)] = shape
+    unit.attempt = Attempt(record.run, members, now)
+    partial = unit.key[2] == GANG and len(members) < job.step_of(unit).count
+    if job.over or (partial and not unit.done):
+        abort_attempt(state, job, unit, "it was being stopped at the takeover", now)
+
+
+def find_server(state: PlannerState, name: str, now: float) -> Server:
+    """Return a server that may hold runs; one that is not listed is silent."""
+    server = state.servers.get(name)
+    if server is None:
+        entry = ServerEntry(name, "", "", "", Shape())
+        server = Server(entry, listed=False, failing_since=now)
+        server.inherited_until = find_unread_lapse(
+            state.took_over_at, state.limits.lease_seconds
+        )
+        state.servers[name] = server
+    return server
--- /dev/null
+++ b/src/cardamomdyke/platform/servers.py
@@ -0,0 +1,348 @@
+"""Entries of the platform's backend servers, and the calls that they take."""
+
+import re
+from dataclasses import dataclass
+from typing import Any
+
+from expression import Error, Ok, Result
+from msgspec import DecodeError, Struct, ValidationError, field
+from msgspec.json import Decoder, encode
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPResponse
+
+from cardamomdyke.adapters.http import HttpCall, TransportFaultKind, send_call
+from cardamomdyke.model.orders import Shape, TaskId
+from cardamomdyke.model.servers import (
+    CallFault,
+    EndKind,
+    EndReport,
+    RefusalKind,
+    RunLists,
+    RunReport,
+    ServerEntry,
+)
+
+INSTANCE_HEADER = "Expected-Instance"
+# A start or stop is answered within milliseconds; a lost answer should not
+# take much of the time that a gang's other members wait.
+ORDER_TIMEOUT_SECONDS = 0.7
+# Beyond the time that a look asks the server to wait for an end.
+LOOK_MARGIN_SECONDS = 0.7
+MILLISECONDS = 1000.0
+STATES = {"ready": False, "draining": True}
+TASK_PATTERN = re.compile(r"([0-9a-f]{16})\.(\d+)\.(\d+)\.(\d+)", re.ASCII)
+REFUSALS = {
+    "fence": RefusalKind.FENCE,
+    "old": RefusalKind.OLD,
+    "late": RefusalKind.LATE,
+    "room": RefusalKind.ROOM,
+    "ticket": RefusalKind.TICKET,
+}
+
+
+class _Capacity(Struct):
+    cpu_millicores: int
+    task_memory_mb: int
+    accelerators: int = 0
+
+
+class _Entry(Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: _Capacity
+    labels: list[str] = field(default_factory=list)
+    born: int = 0
+    remaining_ms: float | None = None
+    cold_remaining_ms: float = 0.0
+
+
+class _Running(Struct, array_like=True):
+    task: str
+    run: int
+    saved: str
+    percent: float
+    load: float = 0.0
+
+
+class _Ended(Struct, array_like=True):
+    number: int
+    task: str
+    run: int
+    how: str
+    saved: str = ""
+
+
+class _Lists(Struct):
+    clock_ms: float
+    running: list[_Running]
+    finished: list[_Ended]
+    born: int = 0
+
+
+class _Answer(Struct):
+    clock_ms: float | None = None
+    reason: str = ""
+
+
+_ENTRY_DECODER = Decoder(_Entry)
+_LISTS_DECODER = Decoder(_Lists)
+_ANSWER_DECODER = Decoder(_Answer)
+
+
+def format_task(task: TaskId) -> str:
+    """Return the platform's name of a task."""
+    return f"{task.job_id}.{task.occurrence}.{task.step}.{task.index}"
+
+
+def read_task(text: str) -> TaskId:
+    """Read the platform's name of a task.
+
+    Raises
+    ------
+    ValueError
+        When the text names no task.
+    """
+    match = TASK_PATTERN.fullmatch(text)
+    if match is None:
+        raise ValueError(f"{text!r} is no name of a task")
+    job_id, occurrence, step, index = match.groups()
+    return TaskId(job_id, int(occurrence), int(step), int(index))
+
+
+def decode_entry(name: str, data: bytes) -> Result[ServerEntry, str]:
+    """Decode what a backend server says of itself.
+
+    Parameters
+    ----------
+    name : str
+        Id of the server: the key of the record.
+    data : bytes
+        Value of the record.
+
+    Returns
+    -------
+    Result of ServerEntry or str
+        The entry, or why it names no server to use.
+    """
+    try:
+        wire = _ENTRY_DECODER.decode(data)
+    except (DecodeError, ValidationError) as error:
+        return Error(str(error))
+    if wire.state not in STATES:
+        return Error(f"state {wire.state!r} is not known")
+    room = wire.capacity
+    return Ok(
+        ServerEntry(
+            name=name,
+            pool=wire.service,
+            address=wire.address,
+            failure_domain=wire.zone,
+            capacity=Shape(room.cpu_millicores, room.task_memory_mb, room.accelerators),
+            labels=tuple(wire.labels),
+            life=wire.born,
+            draining=STATES[wire.state],
+            remaining_seconds=(
+                None if wire.remaining_ms is None else wire.remaining_ms / MILLISECONDS
+            ),
+            cold_seconds=wire.cold_remaining_ms / MILLISECONDS,
+        )
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class StartOrder:
+    """One task to start on one backend server.
+
+    Attributes
+    ----------
+    task : TaskId
+        The task.
+    run : int
+        Number of the run.
+    specification : str
+        The job's text.
+    lease_until_seconds : float
+        End of the lease on the server's clock.
+    checkpoint : str
+        Where to resume; empty to begin anew.
+    """
+
+    task: TaskId
+    run: int
+    specification: str
+    lease_until_seconds: float
+    checkpoint: str = ""
+
+
+@dataclass(frozen=True)
+class ServerClient:
+    """Client of the backend servers.
+
+    Attributes
+    ----------
+    http : CurlAsyncHTTPClient
+        The loop's HTTP client.
+    """
+
+    http: CurlAsyncHTTPClient
+
+    async def start_run(
+        self, entry: ServerEntry, fence: int, order: StartOrder
+    ) -> Result[float, CallFault]:
+        """Start a task; a run that is there already is left alone.
+
+        Parameters
+        ----------
+        entry : ServerEntry
+            The server.
+        fence : int
+            Fencing token.
+        order : StartOrder
+            What to start.
+
+        Returns
+        -------
+        Result of float or CallFault
+            The server's clock, in seconds.
+        """
+        body: dict[str, Any] = {
+            "task": format_task(order.task),
+            "run": order.run,
+            "specification": order.specification,
+            "deadline_ms": int(order.lease_until_seconds * MILLISECONDS),
+            "fencing_token": fence,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        return await self._order(entry, "/run-start", body)
+
+    async def stop_run(
+        self, entry: ServerEntry, fence: int, task: TaskId, run: int
+    ) -> Result[float, CallFault]:
+        """Stop a run; one that is not there yet will be refused when it comes.
+
+        Parameters
+        ----------
+        entry : ServerEntry
+            The server.
+        fence : int
+            Fencing token.
+        task : TaskId
+            The task.
+        run : int
+            Number of the run.
+
+        Returns
+        -------
+        Result of float or CallFault
+            The server's clock, in seconds.
+        """
+        body = {"task": format_task(task), "run": run, "fencing_token": fence}
+        return await self._order(entry, "/run-stop", body)
+
+    async def look(
+        self,
+        entry: ServerEntry,
+        fence: int,
+        acknowledged: int,
+        lease_until_seconds: float | None,
+        wait_seconds: float,
+    ) -> Result[RunLists, CallFault]:
+        """Read what runs and what ended, and extend the server's lease.
+
+        Parameters
+        ----------
+        entry : ServerEntry
+            The server.
+        fence : int
+            Fencing token.
+        acknowledged : int
+            Number of the last end that need not be told again.
+        lease_until_seconds : float or None
+            New end of the lease on the server's clock; None to leave it.
+        wait_seconds : float
+            Longest time that the answer may wait for an end; 2 s at most.
+
+        Returns
+        -------
+        Result of RunLists or CallFault
+            Both lists.
+        """
+        body: dict[str, Any] = {"fencing_token": fence, "last_seen": acknowledged}
+        if lease_until_seconds is not None:
+            body["deadline_ms"] = int(lease_until_seconds * MILLISECONDS)
+        if wait_seconds > 0:
+            body["wait_ms"] = round(wait_seconds * MILLISECONDS)
+        timeout = wait_seconds + LOOK_MARGIN_SECONDS
+        result = await self._call(entry, "/hold", body, timeout)
+        if result.is_error():
+            return Error(result.error)
+        try:
+            return Ok(_convert_lists(_LISTS_DECODER.decode(result.ok.body)))
+        except (DecodeError, ValidationError, ValueError) as error:
+            detail = f"{entry.name} answered a malformed list: {error}"
+            return Error(CallFault(False, None, detail))
+
+    async def _order(
+        self, entry: ServerEntry, path: str, body: dict[str, Any]
+    ) -> Result[float, CallFault]:
+        result = await self._call(entry, path, body, ORDER_TIMEOUT_SECONDS)
+        if result.is_error():
+            return Error(result.error)
+        try:
+            clock = _ANSWER_DECODER.decode(result.ok.body).clock_ms
+        except (DecodeError, ValidationError) as error:
+            return Error(CallFault(False, None, f"{entry.name} answered: {error}"))
+        return Ok((clock or 0.0) / MILLISECONDS)
+
+    async def _call(
+        self, entry: ServerEntry, path: str, body: dict[str, Any], timeout: float
+    ) -> Result[HTTPResponse, CallFault]:
+        call = HttpCall(
+            "POST",
+            f"http://{entry.address}{path}",
+            headers={"Content-Type": "application/json", INSTANCE_HEADER: entry.name},
+            body=encode(body),
+            timeout_seconds=timeout,
+        )
+        result = await send_call(self.http, call)
+        if result.is_error():
+            fault = result.error
+            not_sent = fault.kind is TransportFaultKind.NOT_SENT
+            return Error(CallFault(not_sent, None, f"{entry.name}: {fault.detail}"))
+        if result.ok.code == 200:
+            return Ok(result.ok)
+        return Error(_sort_refusal(entry, result.ok))
+
+
+def _convert_lists(wire: _Lists) -> RunLists:
+    running = tuple(
+        RunReport(read_task(row.task), row.run, row.saved, row.percent, row.load)
+        for row in wire.running
+    )
+    ended = tuple(
+        EndReport(row.number, read_task(row.task), row.run, EndKind(row.how), row.saved)
+        for row in wire.finished
+    )
+    return RunLists(wire.clock_ms / MILLISECONDS, wire.born, running, ended)
+
+
+def _sort_refusal(entry: ServerEntry, response: HTTPResponse) -> CallFault:
+    code = response.code
+    try:
+        answer = _ANSWER_DECODER.decode(response.body or b"{}")
+    except (DecodeError, ValidationError):
+        answer = _Answer()
+    clock = None if answer.clock_ms is None else answer.clock_ms / MILLISECONDS
+    detail = f"{entry.name} answered {code} {answer.reason}".rstrip()
+    if code == 409 and answer.reason in REFUSALS:
+        return CallFault(True, REFUSALS[answer.reason], detail, clock)
+    if code in (429, 503):
+        return CallFault(True, RefusalKind.UNWELL, detail, clock)
+    if code == 421:
+        return CallFault(True, RefusalKind.OTHER_LIFE, detail, clock)
+    if 400 <= code < 500:
+        return CallFault(True, RefusalKind.REJECTED, detail, clock)
+    return CallFault(False, None, detail, clock)
--- /dev/null
+++ b/src/cardamomdyke/platform/settings.py
@@ -0,0 +1,210 @@
+"""Decodes the settings file that the platform writes for each process."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from expression import Error, Ok, Result
+from msgspec import DecodeError, Struct, ValidationError, field
+from msgspec.json import Decoder
+
+from cardamomdyke.model.errors import Problem, ProblemKind, make_problem
+
+# Environment variable that holds the path of the settings file.
+SETTINGS_VARIABLE = "CARDAMOMDYKE_CONFIG"
+MILLISECONDS = 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class StoreSettings:
+    """Where the platform's store is, and what it takes.
+
+    Attributes
+    ----------
+    address : str
+        ``host:port``.
+    record_limit_bytes : int
+        Largest record.
+    append_limit_bytes : int
+        Largest sum of the records of one append.
+    shortest_membership_seconds : float
+        Shortest time to live of a member of a group.
+    """
+
+    address: str
+    record_limit_bytes: int
+    append_limit_bytes: int
+    shortest_membership_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Times that the platform promises or asks for, in seconds.
+
+    Attributes
+    ----------
+    lease_limit_seconds : float
+        Longest lease of a backend server.
+    stop_grace_seconds : float
+        Longest time that a stopped run takes to end.
+    gang_wait_seconds : float
+        Time that a member of a gang waits for the others.
+    shutdown_grace_seconds : float
+        Time from SIGTERM to SIGKILL.
+    status_seconds : float
+        Time that the state of an ended job stays readable.
+    early_seconds : float
+        Time by which an occurrence may start before it is due.
+    remote_factor : float
+        Slow-down of a task away from its data or across racks.
+    checkpoint_interval_seconds : float
+        Work between two checkpoints.
+    restore_seconds : float
+        Time that a start from a checkpoint takes.
+    reclaim_seconds : float
+        Time in which guaranteed work has to begin.
+    """
+
+    lease_limit_seconds: float
+    stop_grace_seconds: float
+    gang_wait_seconds: float
+    shutdown_grace_seconds: float
+    status_seconds: float
+    early_seconds: float
+    remote_factor: float
+    checkpoint_interval_seconds: float
+    restore_seconds: float
+    reclaim_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Settings of one daemon on the platform.
+
+    Attributes
+    ----------
+    vm : str
+        Name of this VM.
+    failure_domain : str
+        Failure domain that this VM is in.
+    failure_domains : tuple of str
+        All failure domains.
+    host : str
+        IP address of this VM.
+    caller_address : str
+        ``host:port`` to serve callers on.
+    readiness_address : str
+        ``host:port`` to serve the balancer's check on.
+    peer_port : int
+        First port for the daemons' own use.
+    last_peer_port : int
+        Last port for the daemons' own use.
+    store : StoreSettings
+        The platform's store.
+    bounds : Bounds
+        Times promised or asked for.
+    """
+
+    vm: str
+    failure_domain: str
+    failure_domains: tuple[str, ...]
+    host: str
+    caller_address: str
+    readiness_address: str
+    peer_port: int
+    last_peer_port: int
+    store: StoreSettings
+    bounds: Bounds
+
+
+class _Listen(Struct):
+    # "readiness" is for the balancer; callers use "frontend".
+    callers: str = field(name="frontend_addr")
+    readiness: str = field(name="readiness_addr")
+
+
+class _Bounds(Struct):
+    hold_max_ms: float
+    stop_grace_ms: float
+    gang_wait_ms: float
+    grace_period_s: float
+    status_s: float
+    early_ms: float
+    remote_factor: float
+    checkpoint_interval_s: float
+    restore_ms: float
+    reclaim_ms: float = 0.0
+
+
+class _Store(Struct):
+    address: str
+    record_bytes: int
+    request_bytes: int
+    min_ttl_ms: float
+
+
+class _Settings(Struct):
+    node_name: str
+    ip_address: str
+    zone: str
+    zones: dict[str, Any]
+    listen_addresses: _Listen
+    internal_port_range: tuple[int, int]
+    bounds: _Bounds
+    platform: _Store
+
+
+_DECODER = Decoder(_Settings)
+
+
+def decode_settings(data: bytes) -> Result[NodeSettings, Problem]:
+    """Decode the settings file.
+
+    Parameters
+    ----------
+    data : bytes
+        Contents of the file; fields that are not known are left out.
+
+    Returns
+    -------
+    Result of NodeSettings or Problem
+        The settings, or what is wrong with them.
+    """
+    try:
+        wire = _DECODER.decode(data)
+    except (DecodeError, ValidationError) as error:
+        message = f"the platform's settings file cannot be used: {error}"
+        return Error(make_problem(ProblemKind.INVALID_SETTING, message))
+    return Ok(
+        NodeSettings(
+            vm=wire.node_name,
+            failure_domain=wire.zone,
+            failure_domains=tuple(sorted(wire.zones)),
+            host=wire.ip_address,
+            caller_address=wire.listen_addresses.callers,
+            readiness_address=wire.listen_addresses.readiness,
+            peer_port=wire.internal_port_range[0],
+            last_peer_port=wire.internal_port_range[1],
+            store=StoreSettings(
+                address=wire.platform.address,
+                record_limit_bytes=wire.platform.record_bytes,
+                append_limit_bytes=wire.platform.request_bytes,
+                shortest_membership_seconds=wire.platform.min_ttl_ms / MILLISECONDS,
+            ),
+            bounds=_convert_bounds(wire.bounds),
+        )
+    )
+
+
+def _convert_bounds(wire: _Bounds) -> Bounds:
+    return Bounds(
+        lease_limit_seconds=wire.hold_max_ms / MILLISECONDS,
+        stop_grace_seconds=wire.stop_grace_ms / MILLISECONDS,
+        gang_wait_seconds=wire.gang_wait_ms / MILLISECONDS,
+        shutdown_grace_seconds=wire.grace_period_s,
+        status_seconds=wire.status_s,
+        early_seconds=wire.early_ms / MILLISECONDS,
+        remote_factor=wire.remote_factor,
+        checkpoint_interval_seconds=wire.checkpoint_interval_s,
+        restore_seconds=wire.restore_ms / MILLISECONDS,
+        reclaim_seconds=wire.reclaim_ms / MILLISECONDS,
+    )
--- /dev/null
+++ b/src/cardamomdyke/platform/store.py
@@ -0,0 +1,430 @@
+"""Client of the platform's store: a log with partitions, keys and groups."""
+
+from base64 import b64decode
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+from struct import Struct as Layout
+from urllib.parse import urlencode
+
+from expression import Error, Ok, Result
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.json import Decoder, encode
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPResponse
+
+from cardamomdyke.adapters.http import HttpCall, TransportFaultKind, send_call
+
+# The topics that the operator and the backend servers write to.
+OPERATOR_TOPIC = "keyed.op"
+SERVERS_TOPIC = "keyed.servers"
+# Before each record: its length. Before the records of a read: the end of the
+# partition and its first retained offset.
+RECORD_LENGTH = Layout(">I")
+READ_BOUNDS = Layout(">QQ")
+LONGEST_KEY_BYTES = 255
+CALL_TIMEOUT_SECONDS = 0.8
+# Beyond the time that a long poll asks the store to wait.
+POLL_MARGIN_SECONDS = 0.8
+
+
+class StoreFaultKind(StrEnum):
+    """What a failed call of the store means."""
+
+    NOT_DONE = "not_done"
+    UNCERTAIN = "uncertain"
+    FENCED = "fenced"
+    OUT_OF_SEQUENCE = "out_of_sequence"
+    TRIMMED = "trimmed"
+    FULL = "full"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreFault:
+    """A call of the store that failed.
+
+    Attributes
+    ----------
+    kind : StoreFaultKind
+        ``NOT_DONE`` when the call certainly had no effect and never will.
+    detail : str
+        What happened.
+    sequence : int
+        Sequence number that the store expects, for ``OUT_OF_SEQUENCE``.
+    """
+
+    kind: StoreFaultKind
+    detail: str
+    sequence: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedRecord:
+    """A record of a topic that keeps the newest record of each key.
+
+    Attributes
+    ----------
+    key : str
+        At most 255 bytes.
+    value : bytes
+        Empty to drop the key.
+    """
+
+    key: str
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Producer:
+    """Who appends, for fencing and for the recognition of repeated appends.
+
+    Attributes
+    ----------
+    name : str
+        Name of the producer.
+    epoch : int
+        A lower one than the highest seen is refused.
+    sequence : int
+        Number of this append.
+    """
+
+    name: str
+    epoch: int
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class RecordPage:
+    """Records of a partition from an offset on.
+
+    Attributes
+    ----------
+    next_offset : int
+        Offset after the last record of this page.
+    end : int
+        Offset that the next append gets.
+    records : tuple of KeyedRecord
+        In offset order.
+    malformed : int
+        Records whose key cannot be read; they are left out.
+    """
+
+    next_offset: int
+    end: int
+    records: tuple[KeyedRecord, ...]
+    malformed: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class NewestPage:
+    """The newest records of some keys, without an order in time.
+
+    Attributes
+    ----------
+    end : int
+        Offset that the next append gets.
+    records : tuple of KeyedRecord
+        In the order of their keys.
+    more : bool
+        True when keys after the last one are left.
+    """
+
+    end: int
+    records: tuple[KeyedRecord, ...]
+    more: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Membership:
+    """What a member of a group holds.
+
+    Attributes
+    ----------
+    generation : int
+        Rises with each change of the group.
+    partitions : frozenset of int
+        Partitions that belong to the member.
+    """
+
+    generation: int
+    partitions: frozenset[int]
+
+
+class _Refusal(Struct):
+    reason: str = ""
+    sequence: int = 0
+
+
+class _Item(Struct):
+    key: str
+    value: str | None = None
+
+
+class _Newest(Struct):
+    items: list[_Item]
+    end_offset: int
+    has_more: bool = False
+
+
+class _Joined(Struct):
+    generation: int
+    parts: list[tuple[str, int, int]]
+
+
+_REFUSAL_DECODER = Decoder(_Refusal)
+_NEWEST_DECODER = Decoder(_Newest)
+_JOINED_DECODER = Decoder(_Joined)
+
+
+@dataclass(frozen=True)
+class StoreClient:
+    """Client of the store.
+
+    Attributes
+    ----------
+    http : CurlAsyncHTTPClient
+        The loop's HTTP client.
+    address : str
+        ``host:port`` of the store.
+    """
+
+    http: CurlAsyncHTTPClient
+    address: str
+
+    async def append_records(
+        self,
+        topic: str,
+        records: Sequence[KeyedRecord],
+        producer: Producer | None = None,
+    ) -> Result[None, StoreFault]:
+        """Append records to partition 0 of a topic, all or nothing.
+
+        Parameters
+        ----------
+        topic : str
+            A topic that keeps the newest record of each key.
+        records : sequence of KeyedRecord
+            None to announce the producer's epoch only.
+        producer : Producer or None
+            Who appends, when earlier epochs are to be refused.
+
+        Returns
+        -------
+        Result of None or StoreFault
+            The fault says whether the records may be or come into the log.
+        """
+        query: dict[str, str | int] = {"topic": topic, "part": 0}
+        if producer is not None:
+            query["producer"] = producer.name
+            query["epoch"] = producer.epoch
+            query["sequence"] = producer.sequence
+        body = b"".join(_frame_record(record) for record in records)
+        result = await self._call("POST", "/log-append", query, body)
+        return result.map(lambda response: None)
+
+    async def read_records(
+        self, topic: str, offset: int, wait_seconds: float = 0.0
+    ) -> Result[RecordPage, StoreFault]:
+        """Read records of partition 0, waiting for one when there is none.
+
+        Parameters
+        ----------
+        topic : str
+            A topic that keeps the newest record of each key.
+        offset : int
+            First offset wanted.
+        wait_seconds : float
+            Longest time to wait for a record.
+
+        Returns
+        -------
+        Result of RecordPage or StoreFault
+            ``TRIMMED`` when the wanted records are no longer kept.
+        """
+        query: dict[str, str | int] = {
+            "topic": topic,
+            "part": 0,
+            "from": offset,
+            "wait_ms": round(wait_seconds * 1000),
+        }
+        timeout = wait_seconds + (
+            POLL_MARGIN_SECONDS if wait_seconds else CALL_TIMEOUT_SECONDS
+        )
+        result = await self._call("GET", "/log-read", query, None, timeout)
+        if result.is_error():
+            return Error(result.error)
+        return _split_page(result.ok.body, offset)
+
+    async def read_newest(
+        self, topic: str, after: str = ""
+    ) -> Result[NewestPage, StoreFault]:
+        """Read the newest record of each key of partition 0, a page at a time.
+
+        Parameters
+        ----------
+        topic : str
+            A topic that keeps the newest record of each key.
+        after : str
+            Last key of the page before; empty for the first page.
+
+        Returns
+        -------
+        Result of NewestPage or StoreFault
+            One page.
+        """
+        query: dict[str, str | int] = {"topic": topic, "part": 0}
+        if after:
+            query["after"] = after
+        result = await self._call("GET", "/log-newest", query, None)
+        if result.is_error():
+            return Error(result.error)
+        try:
+            wire = _NEWEST_DECODER.decode(result.ok.body)
+            records = tuple(
+                KeyedRecord(item.key, b64decode(item.value or "", validate=True))
+                for item in wire.items
+            )
+        except (DecodeError, ValidationError, ValueError) as error:
+            return Error(_make_malformed(error))
+        return Ok(NewestPage(wire.end_offset, records, wire.has_more))
+
+    async def join_group(
+        self, group: str, member: str, topic: str, seconds: float, generation: int
+    ) -> Result[Membership, StoreFault]:
+        """Join a group, or stay in it.
+
+        Parameters
+        ----------
+        group : str
+            Name of the group.
+        member : str
+            Name of this member.
+        topic : str
+            Topic whose partitions the members share.
+        seconds : float
+            Time after which a silent member loses its partitions.
+        generation : int
+            The last one received; a partition that is not listed there is given up.
+
+        Returns
+        -------
+        Result of Membership or StoreFault
+            What the member holds now.
+        """
+        body = {
+            "group": group,
+            "member": member,
+            "topics": [topic],
+            "ttl_ms": round(seconds * 1000),
+            "generation": generation,
+        }
+        result = await self._call("POST", "/log-join", {}, encode(body))
+        if result.is_error():
+            return Error(result.error)
+        try:
+            wire = _JOINED_DECODER.decode(result.ok.body)
+        except (DecodeError, ValidationError) as error:
+            return Error(_make_malformed(error))
+        held = frozenset(part for name, part, _ in wire.parts if name == topic)
+        return Ok(Membership(wire.generation, held))
+
+    async def leave_group(self, group: str, member: str) -> Result[None, StoreFault]:
+        """Leave a group; the member's partitions are dealt anew."""
+        body = encode({"group": group, "member": member})
+        result = await self._call("POST", "/log-leave", {}, body)
+        return result.map(lambda response: None)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str | int],
+        body: bytes | None,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+    ) -> Result[HTTPResponse, StoreFault]:
+        url = f"http://{self.address}{path}"
+        if query:
+            url = f"{url}?{urlencode(query)}"
+        result = await send_call(
+            self.http, HttpCall(method, url, body=body, timeout_seconds=timeout_seconds)
+        )
+        if result.is_error():
+            fault = result.error
+            not_sent = fault.kind is TransportFaultKind.NOT_SENT
+            kind = StoreFaultKind.NOT_DONE if not_sent else StoreFaultKind.UNCERTAIN
+            return Error(StoreFault(kind, fault.detail))
+        response = result.ok
+        if response.code == 200:
+            return Ok(response)
+        return Error(_sort_refusal(response.code, response.body or b""))
+
+
+def _frame_record(record: KeyedRecord) -> bytes:
+    key = record.key.encode()
+    content = bytes((len(key),)) + key + record.value
+    return RECORD_LENGTH.pack(len(content)) + content
+
+
+def _split_page(data: bytes, offset: int) -> Result[RecordPage, StoreFault]:
+    records: list[KeyedRecord] = []
+    malformed = 0
+    count = 0
+    if len(data) < READ_BOUNDS.size:
+        return Error(StoreFault(StoreFaultKind.UNCERTAIN, "the store's page is cut"))
+    end, _ = READ_BOUNDS.unpack_from(data)
+    position = READ_BOUNDS.size
+    while position + RECORD_LENGTH.size <= len(data):
+        (length,) = RECORD_LENGTH.unpack_from(data, position)
+        position += RECORD_LENGTH.size
+        content = data[position : position + length]
+        if len(content) < length:
+            break
+        position += length
+        count += 1
+        record = _read_record(content)
+        if record is None:
+            malformed += 1
+        else:
+            records.append(record)
+    return Ok(RecordPage(offset + count, end, tuple(records), malformed))
+
+
+def _read_record(content: bytes) -> KeyedRecord | None:
+    if not content:
+        return None
+    size = content[0]
+    try:
+        key = content[1 : 1 + size].decode()
+    except UnicodeDecodeError:
+        return None
+    return KeyedRecord(key, content[1 + size :])
+
+
+def _make_malformed(error: Exception) -> StoreFault:
+    detail = f"the store's answer is malformed: {error}"
+    return StoreFault(StoreFaultKind.UNCERTAIN, detail)
+
+
+def _sort_refusal(code: int, body: bytes) -> StoreFault:
+    detail = f"the store answered {code}"
+    if code == 410:
+        return StoreFault(StoreFaultKind.TRIMMED, detail)
+    if code == 507:
+        return StoreFault(StoreFaultKind.FULL, detail)
+    if code == 409:
+        try:
+            refusal = _REFUSAL_DECODER.decode(body)
+        except (DecodeError, ValidationError):
+            return StoreFault(StoreFaultKind.NOT_DONE, detail)
+        if refusal.reason == "fenced":
+            return StoreFault(StoreFaultKind.FENCED, f"{detail}, fenced")
+        if refusal.reason == "seq":
+            return StoreFault(
+                StoreFaultKind.OUT_OF_SEQUENCE,
+                f"{detail}, expects sequence {refusal.sequence}",
+                refusal.sequence,
+            )
+    # A 5xx other than 503 can follow an append that took effect.
+    if code >= 500 and code != 503:
+        return StoreFault(StoreFaultKind.UNCERTAIN, detail)
+    return StoreFault(StoreFaultKind.NOT_DONE, detail)
--- /dev/null
+++ b/src/cardamomdyke/platform/submissions.py
@@ -0,0 +1,113 @@
+"""Decodes the bodies of jobs that callers hand in, and encodes what they read."""
+
+from expression import Error, Ok, Result
+from msgspec import DecodeError, Struct, ValidationError, field
+from msgspec.json import Decoder, encode
+
+from cardamomdyke.model.orders import JobOrder, Shape, StepOrder
+
+MILLISECONDS = 1000.0
+# Header that carries the key of the caller's account.
+KEY_HEADER = "Api-Key"
+# Path of the balancer's check.
+READINESS_PATH = "/readiness"
+LONGEST_SPECIFICATION_BYTES = 4000
+
+
+class _Step(Struct):
+    count: int = 0
+    cpu_millicores: int = 0
+    task_memory_mb: int = 0
+    accelerators: int = 0
+    estimated_ms: float = 0.0
+    after: list[int] = field(default_factory=list)
+    checkpointing: bool = False
+    gang: bool = False
+    rack_sensitive: bool = False
+    required_labels: str = ""
+    affinity: str = ""
+    anti_affinity: int = 0
+    allow_duplicates: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0.0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _Submission(Struct):
+    specification: str
+    steps: list[_Step]
+    repetitions: int = 0
+    first_run_ms: float = 0.0
+    interval_ms: float = 0.0
+
+
+_DECODER = Decoder(_Submission)
+
+
+def decode_submission(data: bytes) -> Result[JobOrder, str]:
+    """Decode the body of a job.
+
+    Parameters
+    ----------
+    data : bytes
+        Body of the request.
+
+    Returns
+    -------
+    Result of JobOrder or str
+        The order as it was given, or why it cannot be read.
+    """
+    try:
+        wire = _DECODER.decode(data)
+    except (DecodeError, ValidationError) as error:
+        return Error(str(error))
+    return Ok(
+        JobOrder(
+            specification=wire.specification,
+            steps=tuple(_convert_step(step) for step in wire.steps),
+            repetitions=wire.repetitions,
+            first_run_unix_seconds=wire.first_run_ms / MILLISECONDS,
+            interval_seconds=wire.interval_ms / MILLISECONDS,
+        )
+    )
+
+
+def _convert_step(wire: _Step) -> StepOrder:
+    return StepOrder(
+        count=wire.count,
+        shape=Shape(wire.cpu_millicores, wire.task_memory_mb, wire.accelerators),
+        estimated_seconds=wire.estimated_ms / MILLISECONDS,
+        after=tuple(wire.after),
+        checkpointing=wire.checkpointing,
+        gang=wire.gang,
+        rack_sensitive=wire.rack_sensitive,
+        # One label in spite of the plural.
+        required_label=wire.required_labels,
+        # The rack that holds the data.
+        data_rack=wire.affinity,
+        # A limit of tasks on one server.
+        server_limit=wire.anti_affinity,
+        copies_allowed=wire.allow_duplicates,
+        long_running=wire.long_running,
+        image=wire.image,
+        target_seconds=wire.target_ms / MILLISECONDS,
+        fills=wire.fills,
+        absence_limit=wire.may_miss,
+    )
+
+
+def encode_state(state: str) -> bytes:
+    """Encode the state of a job."""
+    return encode({"state": state})
+
+
+def encode_waiting(count: int) -> bytes:
+    """Encode the number of a queue's jobs that have not begun."""
+    return encode({"pending": count})
+
+
+def encode_refusal(detail: str, remedy: str) -> bytes:
+    """Encode why a request was refused."""
+    return encode({"error": detail, "remedy": remedy})
--- /dev/null
+++ b/src/cardamomdyke/platform/tables.py
@@ -0,0 +1,130 @@
+"""Decodes what the platform's operators publish: configuration and evacuations."""
+
+from expression import Error, Ok, Result
+from msgspec import DecodeError, Struct, ValidationError, field
+from msgspec.json import Decoder
+
+from cardamomdyke.model.queues import (
+    Account,
+    QueuePool,
+    QueueRoute,
+    QueueTables,
+    make_queue_tables,
+)
+
+# Keys of the operator's topic.
+TABLES_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+DEFAULT_ATTEMPTS = 1
+DEFAULT_STRETCH = 1.0
+DEFAULT_BODY_BYTES = 262_144
+
+
+class _Advice(Struct):
+    decision_ms: float = 0.0
+
+
+class _Route(Struct):
+    name: str
+    host: str
+    path_prefix: str
+    # "service" names the pool of backend servers that run the queue's tasks.
+    service: str
+    priority: int = 0
+    max_attempts: int = DEFAULT_ATTEMPTS
+    stretch: float = DEFAULT_STRETCH
+    target_duration_ms: float = 0.0
+    allow_anonymous: bool = False
+    advice: _Advice | None = None
+
+
+class _Service(Struct):
+    name: str
+    enforces_capacity: bool = False
+    standby: bool = False
+
+
+class _Guaranteed(Struct):
+    accelerators: int = 0
+
+
+class _Tenant(Struct):
+    name: str
+    api_keys: list[str] = field(default_factory=list)
+    guaranteed: _Guaranteed = field(default_factory=_Guaranteed)
+
+
+class _Limits(Struct):
+    max_body_bytes: int = DEFAULT_BODY_BYTES
+
+
+class _Config(Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    tenants: list[_Tenant] = field(default_factory=list)
+    limits: _Limits = field(default_factory=_Limits)
+
+
+_DECODER = Decoder(_Config)
+
+
+def decode_tables(data: bytes) -> Result[QueueTables, str]:
+    """Decode the operator's configuration.
+
+    Parameters
+    ----------
+    data : bytes
+        Value of the key `TABLES_KEY`.
+
+    Returns
+    -------
+    Result of QueueTables or str
+        The tables, or why they cannot be read.
+    """
+    try:
+        wire = _DECODER.decode(data)
+    except (DecodeError, ValidationError) as error:
+        return Error(str(error))
+    routes = tuple(_convert_route(route) for route in wire.routes)
+    pools = {
+        service.name: QueuePool(
+            service.name, service.enforces_capacity, service.standby
+        )
+        for service in wire.services
+    }
+    accounts = tuple(
+        Account(
+            tenant.name,
+            frozenset(tenant.api_keys),
+            tenant.guaranteed.accelerators,
+        )
+        for tenant in wire.tenants
+    )
+    return Ok(
+        make_queue_tables(
+            wire.version, routes, pools, accounts, wire.limits.max_body_bytes
+        )
+    )
+
+
+def _convert_route(wire: _Route) -> QueueRoute:
+    return QueueRoute(
+        name=wire.name,
+        host=wire.host,
+        prefix=wire.path_prefix,
+        pool=wire.service,
+        priority=wire.priority,
+        attempt_limit=wire.max_attempts,
+        stretch=wire.stretch,
+        target_seconds=wire.target_duration_ms / 1000.0,
+        anonymous=wire.allow_anonymous,
+        advised=wire.advice is not None,
+    )
+
+
+def read_evacuated_domain(key: str) -> str:
+    """Return the failure domain that a key takes out, or an empty text."""
+    if not key.startswith(EVACUATION_PREFIX):
+        return ""
+    return key.removeprefix(EVACUATION_PREFIX)
