Reclaim guaranteed accelerators, and judge the planner by histories

Histories of the pure core then showed four more faults: a rack-sensitive gang larger than any rack waited for ever; an older job took reclaimed room back in every plan; an acknowledgement of a server's former life made its next life forget ends; ends listed by a new life were given up as lost.

Change: planner/preemption.py stops the cheapest work for jobs that a guarantee covers and keeps the room that stops will free; guaranteed jobs come first in their priority; a gang that no rack can hold is spread; ends are acknowledged only right after an answer of the same life. tests/planner has a world with lost, late and cut calls, new planners, crashes and store outages, and a hypothesis state machine over it; each fault above has a test that failed first.

--- a/src/cardamomdyke/control/driver.py
+++ b/src/cardamomdyke/control/driver.py
@@ -255,8 +255,7 @@
 
     async def look_once(self, name: str, server: Server) -> None:
         """Look at a server and take the answer into account."""
-        sent_at = read_clock()
-        order = describe_look(self.state, server, sent_at, self.may_order)
+        order = describe_look(self.state, server, read_clock(), self.may_order)
         result = await self.client.look(
             server.entry,
             self.state.fence,
@@ -268,7 +267,7 @@
         if result.is_error():
             note_look_fault(self.state, name, result.error, now)
         else:
-            note_look(self.state, name, sent_at, result.ok, now)
+            note_look(self.state, name, order, result.ok, now)
         self.dirty.set()
 
     async def pause_look(self, name: str, server: Server) -> None:
--- a/src/cardamomdyke/planner/actions.py
+++ b/src/cardamomdyke/planner/actions.py
@@ -71,14 +71,17 @@
 
     Attributes
     ----------
+    sent_at : float
+        When the look is sent.
     acknowledged : int
-        Number of the last end that is recorded.
+        Number of the last end that is recorded; 0 to acknowledge none.
     lease_until : float or None
         New end of the lease on the server's clock; None to leave it.
     wait_seconds : float
         Longest time that the answer may wait for an end.
     """
 
+    sent_at: float
     acknowledged: int
     lease_until: float | None
     wait_seconds: float
--- a/src/cardamomdyke/planner/contacts.py
+++ b/src/cardamomdyke/planner/contacts.py
@@ -46,6 +46,9 @@
 # this is refused, so a lost order does no harm afterwards.
 START_LEASE_SECONDS = 1.5
 STOP_REPEAT_SECONDS = 0.8
+# Within this time after an answer a server is taken to be in the same life: it
+# cannot have restarted, begun a run and ended it.
+SAME_LIFE_SECONDS = 0.5
 # A server that refused a start is left alone for this long.
 UNWELL_SECONDS = 1.0
 # The platform lists at most this many ends in one answer.
@@ -91,16 +94,26 @@
 def describe_look(
     state: PlannerState, server: Server, now: float, may_grant: bool
 ) -> LookOrder:
-    """Say how to look at a server next, and remember the lease that is granted."""
+    """Say how to look at a server next, and remember the lease that is granted.
+
+    The numbers of ends begin anew with each life of a server. An acknowledgement
+    is therefore sent only a short time after an answer, and only until the server
+    has confirmed it; sent later, it could make a new life forget an end that
+    nobody has read.
+    """
     lease_until = None
     if may_grant and server.reading is not None:
         clock = estimate_clock(server.reading, now)
         lease_until = clock + state.limits.lease_seconds
         server.lease_until = max(server.lease_until, lease_until)
+    fresh = now - server.contact_at <= SAME_LIFE_SECONDS
+    acknowledged = server.acknowledged if fresh else 0
+    if acknowledged <= server.confirmed_end:
+        acknowledged = 0
     busy = bool(server.holders or server.strays)
-    waits = busy and server.noted == server.acknowledged
+    waits = busy and server.noted == max(acknowledged, server.confirmed_end)
     return LookOrder(
-        server.acknowledged, lease_until, LOOK_WAIT_SECONDS if waits else 0.0
+        now, acknowledged, lease_until, LOOK_WAIT_SECONDS if waits else 0.0
     )
 
 
@@ -114,7 +127,7 @@
 
 
 def note_look(
-    state: PlannerState, name: str, sent_at: float, lists: RunLists, now: float
+    state: PlannerState, name: str, order: LookOrder, lists: RunLists, now: float
 ) -> None:
     """Take a server's lists into account.
 
@@ -124,8 +137,8 @@
         Changed in place.
     name : str
         Name of the server.
-    sent_at : float
-        When the look was sent.
+    order : LookOrder
+        The look that is answered.
     lists : RunLists
         The answer.
     now : float
@@ -143,7 +156,9 @@
         server.lease_until = lists.clock_seconds + state.limits.lease_seconds
     server.reading = ClockReading(lists.clock_seconds, now)
     if lists.life != server.life:
-        begin_life(state, server, lists, sent_at, now)
+        begin_life(state, server, lists, order.sent_at, now)
+    else:
+        server.confirmed_end = max(server.confirmed_end, order.acknowledged)
     for end in sorted(lists.ended, key=lambda item: item.number):
         if end.number > server.noted:
             note_end(state, server, end, now)
@@ -155,7 +170,7 @@
     for stray in [item for item in server.strays if item not in present]:
         del server.strays[stray]
     if len(lists.ended) < ENDS_IN_ANSWER:
-        note_absent(state, server, present, sent_at, now)
+        note_absent(state, server, present, order.sent_at, now)
 
 
 def begin_life(
@@ -167,10 +182,10 @@
     if not former:
         return
     state.note("server.reborn", server.entry.name, former=former, life=lists.life)
-    server.noted = server.acknowledged = 0
+    server.noted = server.acknowledged = server.confirmed_end = 0
     server.strays.clear()
     server.failures = 0
-    present = {(report.task, report.run) for report in lists.running}
+    present = {(item.task, item.run) for item in (*lists.running, *lists.ended)}
     for job, unit, member in list_holders(state, server):
         if unit.attempt is None or member.phase is not MemberPhase.RUNNING:
             continue
@@ -231,8 +246,10 @@
         note_stray(state, server, report)
         return
     job, unit, member = found
-    if report.checkpoint:
+    if report.checkpoint and report.checkpoint != unit.checkpoint:
         unit.checkpoint = report.checkpoint
+        if unit.attempt is not None:
+            unit.attempt.saved_at = now
     confirm_member(state, job, unit, member, server, now)
 
 
--- a/src/cardamomdyke/planner/placement.py
+++ b/src/cardamomdyke/planner/placement.py
@@ -23,6 +23,8 @@
         Its rack.
     labels : tuple of str
         Its labels.
+    whole : Shape
+        Room of the server when nothing runs there.
     millicores, memory_mb, accelerators : int
         What is free.
     """
@@ -30,6 +32,7 @@
     name: str
     rack: str
     labels: tuple[str, ...]
+    whole: Shape
     millicores: int
     memory_mb: int
     accelerators: int
@@ -58,6 +61,7 @@
                 name,
                 server.entry.rack,
                 server.entry.labels,
+                server.entry.capacity,
                 free.millicores,
                 free.memory_mb,
                 free.accelerators,
@@ -77,7 +81,7 @@
     return in_touch and fresh and server.unwell_until <= now
 
 
-def count_fits(room: Room, shape: Shape) -> int:
+def count_fits(room: Room | Shape, shape: Shape) -> int:
     """Return how many tasks of a shape a room holds."""
     fits = [
         have // need
@@ -98,6 +102,19 @@
     room.accelerators -= shape.accelerators * count
 
 
+def copy_room(room: Room) -> Room:
+    """Return a copy that can be changed."""
+    return Room(
+        room.name,
+        room.rack,
+        room.labels,
+        room.whole,
+        room.millicores,
+        room.memory_mb,
+        room.accelerators,
+    )
+
+
 def find_places(
     rooms: Rooms,
     step: StepOrder,
@@ -141,15 +158,14 @@
 def find_in_groups(
     allowed: list[Room], step: StepOrder, count: int, placed: Mapping[str, int]
 ) -> list[str] | None:
-    """Find places within one rack when the step asks for it, else anywhere."""
-    if not (step.rack_sensitive and count > 1):
-        return fill_tightest(allowed, step, count, placed)
-    racks: dict[str, list[Room]] = {}
-    for room in allowed:
-        racks.setdefault(room.rack, []).append(room)
+    """Find places within one rack when the step asks for it, else anywhere.
+
+    A gang that no rack could hold, even empty, is spread over racks.
+    """
+    groups = list_groups(allowed, step, count)
     best: list[str] | None = None
     best_free = 0
-    for group in racks.values():
+    for group in groups:
         found = fill_tightest(group, step, count, placed)
         free = sum(room.accelerators for room in group)
         if found is not None and (best is None or free < best_free):
@@ -157,6 +173,26 @@
     return best
 
 
+def list_groups(allowed: list[Room], step: StepOrder, count: int) -> list[list[Room]]:
+    """Return the groups of rooms of which one has to hold all tasks."""
+    if not (step.rack_sensitive and count > 1):
+        return [allowed]
+    racks: dict[str, list[Room]] = {}
+    for room in allowed:
+        racks.setdefault(room.rack, []).append(room)
+    large = [group for group in racks.values() if could_hold(group, step, count)]
+    return large or [allowed]
+
+
+def could_hold(group: list[Room], step: StepOrder, count: int) -> bool:
+    """Tell whether some rooms could hold all tasks if nothing else ran there."""
+    fits = 0
+    for room in group:
+        most = count_fits(room.whole, step.shape)
+        fits += min(most, step.server_limit) if step.server_limit else most
+    return fits >= count
+
+
 def fill_tightest(
     group: list[Room], step: StepOrder, count: int, placed: Mapping[str, int]
 ) -> list[str] | None:
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -1,17 +1,29 @@
 """Decides which units start where, and which runs make room for others."""
 
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from cardamomdyke.jobs.records import GANG
-from cardamomdyke.planner.attempts import begin_attempt
+from cardamomdyke.planner.attempts import abort_attempt, begin_attempt
 from cardamomdyke.planner.placement import (
     Rooms,
+    copy_room,
     find_places,
     open_rooms,
     take_room,
 )
-from cardamomdyke.planner.state import Job, PlannerState, Unit, list_indices
+from cardamomdyke.planner.preemption import find_bid, open_market
+from cardamomdyke.planner.state import (
+    Job,
+    PlannerState,
+    Unit,
+    list_holders,
+    list_indices,
+)
+
+# Jobs of this priority may count on their client account's guarantee.
+URGENT_PRIORITY = 0
 
 
 @dataclass
@@ -26,11 +38,14 @@
         Seconds of the loop's clock.
     rooms : dict of str to Rooms
         Free room by pool.
+    guaranteed : frozenset of str
+        Ids of jobs that their client accounts' guarantees cover.
     """
 
     state: PlannerState
     now: float
     rooms: dict[str, Rooms] = field(default_factory=dict)
+    guaranteed: frozenset[str] = frozenset()
 
 
 def plan_starts(state: PlannerState, now: float) -> None:
@@ -45,13 +60,52 @@
     """
     draft = Draft(state, now)
     waiting = [job for job in state.jobs.values() if not job.over]
-    for job in sorted(waiting, key=rank_job):
+    draft.guaranteed = find_guaranteed(state, waiting)
+    for job in sorted(waiting, key=lambda item: rank_job(draft, item)):
         place_job(draft, job)
 
 
-def rank_job(job: Job) -> tuple[int, float]:
-    """Return a key that puts the job to serve first in front."""
-    return job.record.priority, job.arrived_at
+def rank_job(draft: Draft, job: Job) -> tuple[int, bool, float]:
+    """Return a key that puts the job to serve first in front.
+
+    Guaranteed jobs come before others of their priority. In the order of arrival,
+    an older job would take the room that a guaranteed one has just reclaimed.
+    """
+    borrows = job.job_id not in draft.guaranteed
+    return job.record.priority, borrows, job.arrived_at
+
+
+def find_guaranteed(state: PlannerState, jobs: Iterable[Job]) -> frozenset[str]:
+    """Return the ids of jobs that their client accounts' guarantees cover.
+
+    A guarantee is a number of accelerators for the account's jobs of the highest
+    priority; the oldest jobs count first.
+    """
+    if state.tables is None:
+        return frozenset()
+    left = {
+        account.name: account.guaranteed_accelerators
+        for account in state.tables.accounts
+    }
+    covered: set[str] = set()
+    urgent = [job for job in jobs if job.record.priority == URGENT_PRIORITY]
+    for job in sorted(urgent, key=lambda item: item.arrived_at):
+        account = job.record.account
+        need = count_accelerators(job)
+        if need <= left.get(account, 0):
+            left[account] -= need
+            covered.add(job.job_id)
+    return frozenset(covered)
+
+
+def count_accelerators(job: Job) -> int:
+    """Return the accelerators that a job's units need until they are done."""
+    return sum(
+        len(list_indices(job.step_of(unit), unit))
+        * job.step_of(unit).shape.accelerators
+        for unit in job.units.values()
+        if not unit.done
+    )
 
 
 def place_job(draft: Draft, job: Job) -> None:
@@ -60,15 +114,58 @@
     if not ready:
         return
     rooms = find_rooms(draft, job.record.pool)
+    urgent = job.job_id in draft.guaranteed
     misfits: set[int] = set()
     for unit in ready:
         step_number = unit.key[1]
         if step_number in misfits:
             continue
-        if not place_unit(draft, rooms, job, unit):
+        if place_unit(draft, rooms, job, unit):
+            continue
+        if not (urgent and reclaim_room(draft, rooms, job, unit)):
             misfits.add(step_number)
 
 
+def reclaim_room(draft: Draft, rooms: Rooms, job: Job, unit: Unit) -> bool:
+    """Keep room for a guaranteed unit, and stop other work for it if need be.
+
+    The room that stops under way will free counts as well, and is kept from other
+    units of this plan. The unit starts in a later plan, once the room is free.
+    """
+    state = draft.state
+    step = job.step_of(unit)
+    count = len(list_indices(step, unit))
+    placed = count_placed(job, unit) if step.server_limit else Counter()
+    market = open_market(state, job.record.priority, draft.now)
+    bid = find_bid(add_coming(state, rooms), market, step, count, placed)
+    if bid is None:
+        return False
+    for name in bid.names:
+        take_room(rooms.by_name[name], step.shape)
+    for key, victim in bid.victims.items():
+        other = state.jobs[key[0]]
+        state.note(
+            "unit.preempted",
+            other.job_id,
+            unit=key[1],
+            for_job=job.job_id,
+            cost=round(victim.cost, 1),
+        )
+        reason = f"makes room for {job.job_id}"
+        abort_attempt(state, other, other.units[key[1]], reason, draft.now)
+    return True
+
+
+def add_coming(state: PlannerState, rooms: Rooms) -> Rooms:
+    """Return the free room with what the stops under way will free."""
+    sums = Rooms({name: copy_room(room) for name, room in rooms.by_name.items()})
+    for name, room in sums.by_name.items():
+        for job, unit, member in list_holders(state, state.servers[name]):
+            if member.stop_wanted:
+                take_room(room, job.step_of(unit).shape, -1)
+    return sums
+
+
 def find_rooms(draft: Draft, pool: str) -> Rooms:
     """Return the free room of a pool in this plan."""
     if pool not in draft.rooms:
@@ -108,7 +205,8 @@
     for name in names:
         take_room(rooms.by_name[name], step.shape)
     placements = dict(zip(indices, names, strict=True))
-    begin_attempt(draft.state, job, unit, placements, draft.now)
+    guaranteed = job.job_id in draft.guaranteed
+    begin_attempt(draft.state, job, unit, placements, draft.now, guaranteed)
     draft.state.note(
         "unit.placed",
         job.job_id,
--- /dev/null
+++ b/src/cardamomdyke/planner/preemption.py
@@ -0,0 +1,255 @@
+"""Makes room for urgent units by stopping work that counts less."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from cardamomdyke.model.orders import Shape, StepOrder
+from cardamomdyke.planner.placement import (
+    Room,
+    Rooms,
+    copy_room,
+    count_fits,
+    list_groups,
+    take_room,
+)
+from cardamomdyke.planner.state import (
+    Attempt,
+    Job,
+    MemberPhase,
+    PlannerState,
+    Unit,
+    UnitKey,
+)
+
+# The platform prices an accelerator like this many cores.
+CORES_PER_ACCELERATOR = 8.0
+MILLICORES = 1000.0
+
+AttemptKey = tuple[str, UnitKey]
+
+
+@dataclass(frozen=True, slots=True)
+class Victim:
+    """An attempt that may be stopped for another one.
+
+    Attributes
+    ----------
+    key : tuple of (str, UnitKey)
+        Its job and unit.
+    cost : float
+        Core seconds of work that a stop would lose.
+    rooms : dict of str to (Shape, int)
+        For each server, the shape and number of its tasks there.
+    """
+
+    key: AttemptKey
+    cost: float
+    rooms: dict[str, tuple[Shape, int]]
+
+
+@dataclass
+class Market:
+    """Room that can be had by stopping attempts, in one plan.
+
+    Attributes
+    ----------
+    victims : dict of AttemptKey to Victim
+        Attempts that may be stopped.
+    by_server : dict of str to list of Victim
+        The same, by server.
+    """
+
+    victims: dict[AttemptKey, Victim] = field(default_factory=dict)
+    by_server: dict[str, list[Victim]] = field(default_factory=dict)
+
+
+@dataclass
+class Bid:
+    """Places for a unit, and the attempts that must end first.
+
+    Attributes
+    ----------
+    names : list of str
+        One server for each task.
+    victims : dict of AttemptKey to Victim
+        Attempts to stop.
+    """
+
+    names: list[str] = field(default_factory=list)
+    victims: dict[AttemptKey, Victim] = field(default_factory=dict)
+
+    @property
+    def cost(self) -> float:
+        """Core seconds of work that the stops would lose."""
+        return sum(victim.cost for victim in self.victims.values())
+
+
+def open_market(state: PlannerState, priority: int, now: float) -> Market:
+    """List the attempts that a unit of a priority may displace.
+
+    Parameters
+    ----------
+    state : PlannerState
+        Everything known.
+    priority : int
+        Priority of the unit that needs room.
+    now : float
+        Seconds of the loop's clock.
+
+    Returns
+    -------
+    Market
+        Attempts of a lower priority, and borrowed ones of the same priority.
+    """
+    market = Market()
+    for job in state.jobs.values():
+        if job.over or job.record.priority < priority:
+            continue
+        for unit in job.units.values():
+            attempt = unit.attempt
+            if attempt is None or attempt.reason or unit.done:
+                continue
+            if job.record.priority == priority and attempt.guaranteed:
+                continue
+            add_victim(market, job, unit, attempt, now)
+    return market
+
+
+def add_victim(
+    market: Market, job: Job, unit: Unit, attempt: Attempt, now: float
+) -> None:
+    """Add one attempt to the market."""
+    shape = job.step_of(unit).shape
+    counts: dict[str, int] = {}
+    for member in attempt.members.values():
+        if member.phase is not MemberPhase.ENDED:
+            counts[member.server] = counts.get(member.server, 0) + 1
+    size = shape.millicores / MILLICORES + shape.accelerators * CORES_PER_ACCELERATOR
+    lost = max(0.0, now - max(attempt.started_at, attempt.saved_at))
+    victim = Victim(
+        (job.job_id, unit.key),
+        size * lost * sum(counts.values()),
+        {name: (shape, count) for name, count in counts.items()},
+    )
+    market.victims[victim.key] = victim
+    for name in counts:
+        market.by_server.setdefault(name, []).append(victim)
+
+
+def find_bid(
+    rooms: Rooms,
+    market: Market,
+    step: StepOrder,
+    count: int,
+    placed: Mapping[str, int],
+) -> Bid | None:
+    """Find the cheapest room for some tasks, within one rack if the step asks so.
+
+    Parameters
+    ----------
+    rooms : Rooms
+        Free room, and room that stops under way will free.
+    market : Market
+        Attempts that may be stopped.
+    step : StepOrder
+        What the tasks need.
+    count : int
+        Number of tasks.
+    placed : mapping of str to int
+        Tasks of the step that each server has already.
+
+    Returns
+    -------
+    Bid or None
+        None when even the whole market has no room for all tasks.
+    """
+    allowed = [
+        room
+        for room in rooms.by_name.values()
+        if not step.required_label or step.required_label in room.labels
+    ]
+    bids = [
+        fill_bid(group, market, step, count, placed)
+        for group in list_groups(allowed, step, count)
+    ]
+    found = [bid for bid in bids if bid is not None]
+    return min(found, key=lambda bid: bid.cost, default=None)
+
+
+def fill_bid(
+    group: Iterable[Room],
+    market: Market,
+    step: StepOrder,
+    count: int,
+    placed: Mapping[str, int],
+) -> Bid | None:
+    """Take the cheapest place for one task after the other."""
+    bid = Bid()
+    copies = {room.name: copy_room(room) for room in group}
+    used = dict(placed)
+    while len(bid.names) < count:
+        best: tuple[float, int, str] | None = None
+        best_victims: list[Victim] = []
+        for room in copies.values():
+            if step.server_limit and used.get(room.name, 0) >= step.server_limit:
+                continue
+            victims = choose_victims(room, market, bid, step.shape)
+            if victims is None:
+                continue
+            cost = sum(victim.cost for victim in victims)
+            rank = (cost, room.accelerators, room.name)
+            if best is None or rank < best:
+                best, best_victims = rank, victims
+        if best is None:
+            return None
+        name = best[2]
+        for victim in best_victims:
+            bid.victims[victim.key] = victim
+            free_victim(copies, victim)
+        take_room(copies[name], step.shape)
+        used[name] = used.get(name, 0) + 1
+        bid.names.append(name)
+    return bid
+
+
+def free_victim(copies: dict[str, Room], victim: Victim) -> None:
+    """Give the room of a stopped attempt back."""
+    for name, (shape, count) in victim.rooms.items():
+        if name in copies:
+            take_room(copies[name], shape, -count)
+
+
+def choose_victims(
+    room: Room, market: Market, bid: Bid, shape: Shape
+) -> list[Victim] | None:
+    """Choose attempts on one server whose end makes room for one task."""
+    if count_fits(room, shape):
+        return []
+    trial = copy_room(room)
+    chosen: list[Victim] = []
+    offers = [
+        victim
+        for victim in market.by_server.get(room.name, [])
+        if victim.key not in bid.victims
+    ]
+    for victim in sorted(offers, key=lambda item: item.cost):
+        victim_shape, count = victim.rooms[room.name]
+        take_room(trial, victim_shape, -count)
+        chosen.append(victim)
+        if count_fits(trial, shape):
+            return drop_needless(room, chosen, shape)
+    return None
+
+
+def drop_needless(room: Room, chosen: list[Victim], shape: Shape) -> list[Victim]:
+    """Leave out victims that are not needed once the others have ended."""
+    kept = list(chosen)
+    for victim in sorted(chosen, key=lambda item: -item.cost):
+        others = [item for item in kept if item is not victim]
+        trial = copy_room(room)
+        for item in others:
+            victim_shape, count = item.rooms[room.name]
+            take_room(trial, victim_shape, -count)
+        if count_fits(trial, shape):
+            kept = others
+    return kept
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -93,6 +93,8 @@
         When it was planned.
     checkpoint : str
         Where all members resume; empty to begin anew.
+    saved_at : float
+        When its newest checkpoint was seen; 0 for never.
     guaranteed : bool
         True when it counts on its client account's guarantee.
     reason : str
@@ -103,6 +105,7 @@
     members: dict[int, Member]
     started_at: float
     checkpoint: str = ""
+    saved_at: float = 0.0
     guaranteed: bool = False
     reason: str = ""
 
@@ -222,6 +225,8 @@
         Number of the last end that was taken into account.
     acknowledged : int
         Number of the last end whose effect is recorded.
+    confirmed_end : int
+        Number of the last end that the server knows to be recorded.
     holders : dict of HolderKey to Shape
         Members that hold room.
     strays : dict
@@ -241,6 +246,7 @@
     unwell_until: float = 0.0
     noted: int = 0
     acknowledged: int = 0
+    confirmed_end: int = 0
     holders: dict[HolderKey, Shape] = field(default_factory=dict)
     strays: dict[tuple[TaskId, int], Shape] = field(default_factory=dict)
     failures: int = 0
--- /dev/null
+++ b/tests/planner/test_histories.py
@@ -0,0 +1,175 @@
+"""Histories of planners, servers and a store under faults, judged by the rules."""
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from cardamomdyke.model.orders import Shape, StepOrder
+from cardamomdyke.model.queues import Account
+from cardamomdyke_standins.platform_server import LEASE_LIMIT_SECONDS, StepPlan
+from tests.planner.world import Fault, World
+
+HISTORIES = 300
+STEPS = 16
+SERVER = Shape(32_000, 65_536, 8)
+SERVERS = ["s0", "s1", "s2", "s3"]
+LATE_SECONDS = [2.0, 4.0, 8.0, 12.0]
+FAULTS = st.lists(
+    st.tuples(
+        st.sampled_from([Fault.NONE] * 6 + list(Fault)), st.sampled_from(LATE_SECONDS)
+    ),
+    max_size=12,
+)
+STEP_ORDERS = st.builds(
+    StepOrder,
+    count=st.integers(1, 4),
+    shape=st.builds(Shape, st.just(1000), st.just(100), st.sampled_from([1, 2, 4, 8])),
+    estimated_seconds=st.sampled_from([0.5, 2.0, 10.0]),
+    checkpointing=st.booleans(),
+    gang=st.booleans(),
+    rack_sensitive=st.booleans(),
+)
+# Time in which every job ends once nothing goes wrong any more: the leases of
+# lost servers lapse, then the work is done one after the other.
+SETTLE_SECONDS = 2 * LEASE_LIMIT_SECONDS + 120.0
+
+
+class PlannerHistories(RuleBasedStateMachine):
+    """Jobs come and go while planners, servers, calls and the store fail."""
+
+    @initialize(rates=st.lists(st.sampled_from([1.0, 0.98]), min_size=4, max_size=4))
+    def begin(self, rates: list[float]) -> None:
+        self.world = World()
+        self.world.accounts = (Account("owner", frozenset(), 16),)
+        for name, rate in zip(SERVERS, rates, strict=True):
+            rack = "r1" if name in ("s0", "s1") else "r2"
+            self.world.add_server(name, SERVER, rack, rate)
+        self.world.take_over()
+        self.world.run_for(1.0)
+        self.jobs = 0
+
+    @rule(
+        orders=st.lists(STEP_ORDERS, min_size=1, max_size=2),
+        seconds=st.sampled_from([0.3, 1.5, 4.0, 9.0]),
+        failing=st.sampled_from([0, 0, 0, 1, 9]),
+        priority=st.integers(0, 2),
+    )
+    def submit(
+        self,
+        orders: list[StepOrder],
+        seconds: float,
+        failing: int,
+        priority: int,
+    ) -> None:
+        self.jobs += 1
+        steps = []
+        for number, order in enumerate(orders):
+            after = (0,) if number else ()
+            step = StepOrder(
+                order.count,
+                order.shape,
+                order.estimated_seconds,
+                after,
+                order.checkpointing,
+                order.gang,
+                order.rack_sensitive,
+            )
+            plan = StepPlan(seconds, step.count, step.gang, failing, step.checkpointing)
+            steps.append((step, plan))
+        self.world.submit(f"{self.jobs:016x}", steps, priority, 2, "owner")
+
+    @precondition(lambda self: self.jobs > 0)
+    @rule(number=st.integers(0, 20))
+    def cancel(self, number: int) -> None:
+        self.world.cancel(f"{number % self.jobs + 1:016x}")
+
+    @rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 3.0, 8.0]))
+    def wait(self, seconds: float) -> None:
+        self.world.run_for(seconds)
+
+    @rule(faults=FAULTS)
+    def disturb_calls(self, faults: list[tuple[Fault, float]]) -> None:
+        self.world.disturbed = True
+        self.world.faults = faults
+
+    @rule()
+    def kill_planner(self) -> None:
+        self.world.disturbed = True
+        self.world.planner.alive = False
+        self.world.take_over()
+
+    @rule(seconds=st.sampled_from([1.0, 4.0, 9.0]))
+    def freeze_planner(self, seconds: float) -> None:
+        self.world.disturbed = True
+        self.world.planner.frozen_until = self.world.now + seconds
+        self.world.take_over()
+
+    @rule(names=st.sets(st.sampled_from(SERVERS)))
+    def cut_new_planner(self, names: set[str]) -> None:
+        """The new planner lacks some servers; the old one acts on till its end."""
+        self.world.disturbed = True
+        self.world.take_over().cut |= names
+
+    @rule(names=st.sets(st.sampled_from(SERVERS)))
+    def cut_servers(self, names: set[str]) -> None:
+        self.world.disturbed = True
+        self.world.planner.cut |= names
+
+    @rule()
+    def heal(self) -> None:
+        self.world.planner.cut.clear()
+        self.world.store_up = True
+
+    @rule()
+    def lose_store(self) -> None:
+        self.world.disturbed = True
+        self.world.store_up = False
+
+    @rule(name=st.sampled_from(SERVERS), seconds=st.sampled_from([0.2, 2.0, 6.0]))
+    def restart_server(self, name: str, seconds: float) -> None:
+        self.world.disturbed = True
+        server = self.world.hall.servers[name]
+        server.crash(self.world.now)
+        self.world.run_for(seconds)
+        server.restart(self.world.now)
+        self.world.list_server(name)
+
+    @rule(name=st.sampled_from(SERVERS), draining=st.booleans())
+    def drain_server(self, name: str, draining: bool) -> None:
+        self.world.list_server(name, draining)
+
+    @invariant()
+    def keeps_rules(self) -> None:
+        if hasattr(self, "world"):
+            assert not self.world.violations, self.world.violations
+
+    def teardown(self) -> None:
+        """Every job ends as it must once nothing goes wrong any more."""
+        if not hasattr(self, "world"):
+            return
+        world = self.world
+        world.store_up = True
+        world.faults = []
+        for name in SERVERS:
+            world.list_server(name)
+        world.planner.cut.clear()
+        if not world.is_running(world.planner):
+            world.take_over()
+        world.run_for(SETTLE_SECONDS)
+        world.judge_finish()
+        assert not world.violations, world.violations
+
+
+TestPlannerHistories = PlannerHistories.TestCase
+TestPlannerHistories.settings = settings(
+    max_examples=HISTORIES,
+    stateful_step_count=STEPS,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
--- /dev/null
+++ b/tests/planner/world.py
@@ -0,0 +1,594 @@
+"""World of planners, backend servers and a store, on a virtual clock.
+
+It plays the part of the loop in `cardamomdyke.control.driver`, with a network that
+loses, delays and doubles calls, and judges every start by the platform's rules.
+"""
+
+import heapq
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import StrEnum
+from itertools import count
+
+from cardamomdyke.jobs.ledger import ChangeKind, Ledger, apply_record, find_phase
+from cardamomdyke.jobs.records import (
+    CANCELLATION_PREFIX,
+    JOB_PREFIX,
+    PROGRESS_PREFIX,
+    JobPhase,
+    JobRecord,
+    encode_job,
+    encode_progress,
+)
+from cardamomdyke.model.orders import JobOrder, Shape, StepOrder, TaskId
+from cardamomdyke.model.queues import Account, QueueTables, make_queue_tables
+from cardamomdyke.model.servers import (
+    CallFault,
+    EndKind,
+    RunLists,
+    ServerEntry,
+)
+from cardamomdyke.planner.actions import Action, SendStart, SendStop
+from cardamomdyke.planner.attempts import cancel_job
+from cardamomdyke.planner.contacts import (
+    describe_look,
+    describe_start,
+    let_time_pass,
+    note_look,
+    note_look_fault,
+    note_start,
+    note_stop,
+    update_servers,
+)
+from cardamomdyke.planner.planning import plan_starts
+from cardamomdyke.planner.progress import (
+    add_job,
+    note_recorded,
+    restore_jobs,
+    take_batch,
+)
+from cardamomdyke.planner.state import (
+    Limits,
+    PlannerState,
+    find_checkpoint,
+)
+from cardamomdyke_standins.platform_server import (
+    GANG_WAIT_SECONDS,
+    LEASE_LIMIT_SECONDS,
+    STOP_SECONDS,
+    Hall,
+    PlatformServer,
+    RefusedError,
+    Run,
+    StepPlan,
+    encode_plan,
+)
+
+TRANSIT_SECONDS = 0.005
+ORDER_TIMEOUT_SECONDS = 0.7
+LOOK_MARGIN_SECONDS = 0.7
+POLL_SECONDS = 0.05
+STEP_SECONDS = 0.1
+STORE_SECONDS = 0.008
+IDLE_LOOK_SECONDS = 2.0
+FAILING_LOOK_SECONDS = 0.3
+RIGHT_SECONDS = 2.0
+POOL = "order-desk"
+# Rules with a bound: a cancelled job starts nothing later than this.
+CANCEL_SECONDS = 3.0
+
+
+class Fault(StrEnum):
+    """What happens to one call."""
+
+    NONE = "none"
+    LOSE_REQUEST = "lose_request"
+    LOSE_ANSWER = "lose_answer"
+    LATE = "late"
+
+
+@dataclass
+class Planner:
+    """One daemon that plans, or has planned."""
+
+    state: PlannerState
+    ledger: Ledger
+    name: str
+    right_until: float
+    alive: bool = True
+    frozen_until: float = 0.0
+    cut: set[str] = field(default_factory=set)
+    reaches_store: bool = True
+    recording: bool = False
+    applied: int = 0
+    watched: set[str] = field(default_factory=set)
+
+
+@dataclass
+class World:
+    """Everything that a history needs."""
+
+    now: float = 0.0
+    hall: Hall = field(default_factory=Hall)
+    records: list[tuple[str, bytes]] = field(default_factory=list)
+    epoch: int = 0
+    store_up: bool = True
+    planners: list[Planner] = field(default_factory=list)
+    faults: list[tuple[Fault, float]] = field(default_factory=list)
+    listed: dict[str, ServerEntry] = field(default_factory=dict)
+    orders: dict[str, JobRecord] = field(default_factory=dict)
+    cancelled_at: dict[str, float] = field(default_factory=dict)
+    violations: list[str] = field(default_factory=list)
+    live: dict[TaskId, list[tuple[str, int]]] = field(default_factory=dict)
+    done: dict[TaskId, int] = field(default_factory=dict)
+    failed: dict[TaskId, dict[int, float]] = field(default_factory=dict)
+    fail_places: dict[tuple[TaskId, int], tuple[str, int, int, int, float]] = field(
+        default_factory=dict
+    )
+    starts: dict[TaskId, list[float]] = field(default_factory=dict)
+    evacuated: dict[str, float] = field(default_factory=dict)
+    accounts: tuple[Account, ...] = ()
+    end_places: dict[TaskId, tuple[str, int, int, int]] = field(default_factory=dict)
+    ended_done: set[TaskId] = field(default_factory=set)
+    disturbed: bool = False
+    queue: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
+    numbers: count = field(default_factory=count)
+
+    def __post_init__(self) -> None:
+        self.hall.on_start = self.judge_start
+        self.hall.on_end = self.judge_end
+
+    # Time.
+
+    def schedule(self, delay: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self.queue, (self.now + delay, next(self.numbers), action))
+
+    def run_for(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.queue and self.queue[0][0] <= end:
+            at, _, action = heapq.heappop(self.queue)
+            self.now = max(self.now, at)
+            for server in self.hall.servers.values():
+                server.advance(self.now)
+            action()
+        self.now = end
+
+    # Servers.
+
+    def add_server(
+        self, name: str, capacity: Shape, rack: str = "r1", rate: float = 1.0
+    ) -> PlatformServer:
+        server = PlatformServer(
+            name, self.hall, capacity, rack=rack, rate=rate, born_at=self.now - 100.0
+        )
+        self.hall.servers[name] = server
+        self.list_server(name)
+        return server
+
+    def list_server(self, name: str, draining: bool = False) -> None:
+        server = self.hall.servers[name]
+        server.draining = draining
+        self.listed[name] = ServerEntry(
+            name,
+            POOL,
+            name,
+            server.failure_domain,
+            server.capacity,
+            ("a", server.rack),
+            server.life,
+            draining,
+        )
+
+    # Jobs.
+
+    def submit(
+        self,
+        job_id: str,
+        steps: Iterable[tuple[StepOrder, StepPlan]],
+        priority: int = 1,
+        attempt_limit: int = 2,
+        account: str = "a",
+    ) -> None:
+        pairs = list(steps)
+        order = JobOrder(
+            encode_plan([plan for _, plan in pairs]), tuple(step for step, _ in pairs)
+        )
+        record = JobRecord(
+            job_id,
+            "q",
+            account,
+            POOL,
+            priority,
+            attempt_limit,
+            3.0,
+            1.0,
+            self.now,
+            order,
+        )
+        self.orders[job_id] = record
+        self.records.append((JOB_PREFIX + job_id, encode_job(record)))
+
+    def cancel(self, job_id: str) -> None:
+        self.records.append((CANCELLATION_PREFIX + job_id, b"1"))
+        self.cancelled_at.setdefault(job_id, self.now)
+
+    def read_ledger(self) -> Ledger:
+        ledger = Ledger()
+        for key, value in self.records:
+            apply_record(ledger, key, value)
+        return ledger
+
+    def find_phase(self, job_id: str) -> JobPhase | None:
+        return find_phase(self.read_ledger(), job_id)
+
+    # Planners.
+
+    @property
+    def planner(self) -> Planner:
+        return self.planners[-1]
+
+    def take_over(self) -> Planner:
+        """Let a new planner begin, after the right of the former one has ended."""
+        if self.planners:
+            former = self.planner
+            former.reaches_store = False
+            self.run_for(max(0.0, former.right_until - self.now))
+        self.epoch += 1
+        ledger = self.read_ledger()
+        limits = Limits(LEASE_LIMIT_SECONDS, GANG_WAIT_SECONDS, STOP_SECONDS, 120.0)
+        state = PlannerState(limits, self.epoch, self.now, tables=self.make_tables())
+        update_servers(state, self.listed.values(), self.now)
+        restore_jobs(state, ledger, self.now)
+        planner = Planner(
+            state,
+            ledger,
+            f"p{self.epoch}",
+            self.now + RIGHT_SECONDS,
+            applied=len(self.records),
+        )
+        self.planners.append(planner)
+        self.schedule(0.0, lambda: self.step_planner(planner))
+        return planner
+
+    def make_tables(self) -> QueueTables:
+        return make_queue_tables(1, (), {}, self.accounts, 262_144)
+
+    def is_running(self, planner: Planner) -> bool:
+        return planner.alive and not planner.state.superseded
+
+    def may_order(self, planner: Planner) -> bool:
+        return self.is_running(planner) and self.now < planner.right_until
+
+    def step_planner(self, planner: Planner) -> None:
+        if not self.is_running(planner):
+            return
+        if self.now < planner.frozen_until:
+            self.schedule(
+                planner.frozen_until - self.now, lambda: self.step_planner(planner)
+            )
+            return
+        self.schedule(STEP_SECONDS, lambda: self.step_planner(planner))
+        if planner.reaches_store and self.store_up:
+            planner.right_until = self.now + RIGHT_SECONDS
+            self.apply_records(planner)
+            update_servers(planner.state, self.listed.values(), self.now)
+            planner.state.evacuated = frozenset(self.evacuated)
+        let_time_pass(planner.state, self.now)
+        plan_starts(planner.state, self.now)
+        self.carry_out(planner)
+        self.record(planner)
+        for name in list(planner.state.servers):
+            if name not in planner.watched:
+                planner.watched.add(name)
+                self.look(planner, name)
+
+    def apply_records(self, planner: Planner) -> None:
+        for key, value in self.records[planner.applied :]:
+            change = apply_record(planner.ledger, key, value)
+            if change.kind is ChangeKind.ACCEPTED:
+                record = planner.ledger.jobs[change.job_id]
+                add_job(planner.state, record, self.now)
+            elif change.kind is ChangeKind.CANCELLED:
+                cancel_job(planner.state, change.job_id, self.now)
+        planner.applied = len(self.records)
+
+    def record(self, planner: Planner) -> None:
+        """Append what has changed; the store refuses a former planner's append."""
+        if planner.recording:
+            return
+        batch = take_batch(planner.state)
+        if batch is None:
+            return
+        planner.recording = True
+
+        def arrive() -> None:
+            if not (self.is_running(planner) and planner.reaches_store):
+                return
+            if not self.store_up:
+                self.schedule(0.1, arrive)
+                return
+            if planner.state.fence < self.epoch:
+                planner.state.superseded = True
+                return
+            for job_id, progress in batch.progress.items():
+                key = PROGRESS_PREFIX + job_id
+                self.records.append((key, encode_progress(progress)))
+            self.schedule(STORE_SECONDS, answer)
+
+        def answer() -> None:
+            planner.recording = False
+            if self.is_running(planner) and self.now >= planner.frozen_until:
+                note_recorded(planner.state, batch, self.now)
+                self.carry_out(planner)
+
+        self.schedule(STORE_SECONDS, arrive)
+
+    def carry_out(self, planner: Planner) -> None:
+        actions, planner.state.actions = planner.state.actions, []
+        for action in actions:
+            self.perform(planner, action)
+
+    def perform(self, planner: Planner, action: Action) -> None:
+        if isinstance(action, SendStart):
+            self.send_start(planner, action)
+        elif isinstance(action, SendStop):
+            self.send_stop(planner, action)
+
+    # Calls.
+
+    def call(
+        self,
+        planner: Planner,
+        name: str,
+        timeout: float,
+        execute: Callable[[], object],
+        answer: Callable[[object, CallFault | None], None],
+        faulty: bool = True,
+    ) -> None:
+        """Send one call; `answer` gets its result or what the failure proves."""
+        fault, delay = Fault.NONE, 0.0
+        if faulty and self.faults:
+            fault, delay = self.faults.pop(0)
+        server = self.hall.servers.get(name)
+        unreachable = server is None or not server.up or name in planner.cut
+        lost = CallFault(False, None, "no answer")
+
+        def reply(result: object, failure: CallFault | None) -> None:
+            if self.is_running(planner) and self.now >= planner.frozen_until:
+                answer(result, failure)
+
+        def arrive() -> None:
+            if server is None or not server.up or name in planner.cut:
+                if fault is Fault.NONE:
+                    self.schedule(timeout, lambda: reply(None, lost))
+                return
+            try:
+                result, failure = execute(), None
+            except RefusedError as error:
+                result, failure = None, CallFault(True, error.kind, "refused")
+            if fault is Fault.NONE:
+                self.schedule(TRANSIT_SECONDS, lambda: reply(result, failure))
+
+        if unreachable or fault is not Fault.NONE:
+            self.schedule(timeout, lambda: reply(None, lost))
+        if unreachable or fault is Fault.LOSE_REQUEST:
+            return
+        late = fault is Fault.LATE
+        self.schedule(delay if late else TRANSIT_SECONDS, arrive)
+
+    def send_start(self, planner: Planner, action: SendStart) -> None:
+        state = planner.state
+        server = state.servers.get(action.server)
+        job = state.jobs.get(action.task.job_id)
+        if server is None or job is None:
+            return
+
+        def take(result: object, failure: CallFault | None) -> None:
+            note_start(state, action.server, action.task, action.run, failure, self.now)
+
+        lease_until = describe_start(server, self.now)
+        if not self.may_order(planner) or lease_until is None:
+            take(None, CallFault(True, None, "no right"))
+            return
+        real = self.hall.servers.get(action.server)
+        specification = job.record.order.specification
+        checkpoint = find_checkpoint(state, action.task)
+        self.call(
+            planner,
+            action.server,
+            ORDER_TIMEOUT_SECONDS,
+            lambda: (
+                real
+                and real.start(
+                    action.task,
+                    action.run,
+                    specification,
+                    checkpoint,
+                    lease_until,
+                    state.fence,
+                    self.now,
+                )
+            ),
+            take,
+        )
+
+    def send_stop(self, planner: Planner, action: SendStop) -> None:
+        if not self.may_order(planner):
+            return
+        real = self.hall.servers.get(action.server)
+        state = planner.state
+        self.call(
+            planner,
+            action.server,
+            ORDER_TIMEOUT_SECONDS,
+            lambda: real and real.stop(action.task, action.run, state.fence, self.now),
+            lambda result, failure: note_stop(
+                state, action.server, action.task, action.run, failure, self.now
+            ),
+        )
+
+    def look(self, planner: Planner, name: str) -> None:
+        """Look at a server once, and again when it is time."""
+        state = planner.state
+        if not self.is_running(planner) or name not in state.servers:
+            planner.watched.discard(name)
+            return
+        if self.now < planner.frozen_until:
+            wait = planner.frozen_until - self.now
+            self.schedule(wait, lambda: self.look(planner, name))
+            return
+        server = state.servers[name]
+        order = describe_look(state, server, self.now, self.may_order(planner))
+        real = self.hall.servers.get(name)
+
+        def take(result: object, failure: CallFault | None) -> None:
+            pause = FAILING_LOOK_SECONDS
+            if failure is not None:
+                note_look_fault(state, name, failure, self.now)
+            elif isinstance(result, RunLists):
+                note_look(state, name, order, result, self.now)
+                busy = server.holders or server.strays
+                pause = POLL_SECONDS if busy else IDLE_LOOK_SECONDS
+                if server.noted > server.acknowledged:
+                    pause = 2 * STORE_SECONDS + STEP_SECONDS
+            self.schedule(pause, lambda: self.look(planner, name))
+
+        def execute() -> RunLists | None:
+            if real is None:
+                return None
+            running, ended = real.look(
+                order.acknowledged, order.lease_until, state.fence, self.now
+            )
+            if order.acknowledged:
+                self.note_acknowledged(real, order.acknowledged)
+            clock = real.read_clock(self.now)
+            return RunLists(clock, real.life, running, ended)
+
+        timeout = order.wait_seconds + LOOK_MARGIN_SECONDS
+        self.call(planner, name, timeout, execute, take)
+
+    def note_acknowledged(self, server: PlatformServer, number: int) -> None:
+        """Remember which ends were taken note of."""
+        # An end does not count when the lease ran out before it was taken note of.
+        if server.read_clock(self.now) >= server.lease_until:
+            return
+        found = (server.name, server.life, server.lapses)
+        for task, (name, life, lapses, place) in self.end_places.items():
+            if (name, life, lapses) == found and place <= number:
+                self.done[task] = place
+        for (task, run), (name, life, lapses, place, at) in self.fail_places.items():
+            if (name, life, lapses) == found and place <= number:
+                self.failed.setdefault(task, {})[run] = at
+                self.judge_budget(task)
+
+    def judge_budget(self, task: TaskId) -> None:
+        """Check that nothing was started after the last attempt had failed."""
+        limit = self.orders[task.job_id].attempt_limit
+        ends = sorted(self.list_failed(task).values())
+        if len(ends) >= limit and max(self.starts[task]) > ends[limit - 1]:
+            self.violations.append(f"BUDGET: {task} {ends} {self.starts[task]}")
+
+    # Judging.
+
+    def judge_start(self, server: PlatformServer, run: Run) -> None:
+        task = run.task
+        record = self.orders.get(task.job_id)
+        if record is None or record.order.specification != run.specification:
+            self.violations.append(f"UNASKED: {task}")
+            return
+        step = record.order.steps[task.step]
+        self.judge_room(server, record, step, task)
+        for name, number in self.live.get(task, []):
+            if self.hall.servers[name].up:
+                self.violations.append(f"TWICE: {task} {run.run}, {number} on {name}")
+        if task in self.done:
+            self.violations.append(f"TWICE: {task} {run.run} is done")
+        self.starts.setdefault(task, []).append(self.now)
+        if task in self.failed:
+            self.judge_budget(task)
+        for before in step.after:
+            for index in range(record.order.steps[before].count):
+                needed = TaskId(task.job_id, task.occurrence, before, index)
+                if needed not in self.ended_done:
+                    self.violations.append(f"ORDER: {task} before {needed}")
+        if run.checkpoint and not run.checkpoint.startswith(
+            f"{task.job_id}.{task.step}:"
+        ):
+            self.violations.append(f"UNASKED: {task} from {run.checkpoint}")
+        cancelled = self.cancelled_at.get(task.job_id)
+        if cancelled is not None and self.now > cancelled + CANCEL_SECONDS:
+            calm = self.planner.reaches_store and self.store_up
+            if calm and run.run == self.find_run(task):
+                self.violations.append(f"UNASKED: {task} after its cancelling")
+        self.live.setdefault(task, []).append((server.name, run.run))
+
+    def list_failed(self, task: TaskId) -> dict[int, float]:
+        """Return the failed runs of a task or its gang that were taken note of."""
+        step = self.orders[task.job_id].order.steps[task.step]
+        if not step.gang:
+            return self.failed.get(task, {})
+        runs: dict[int, float] = {}
+        for index in range(step.count):
+            member = TaskId(task.job_id, task.occurrence, task.step, index)
+            runs |= self.failed.get(member, {})
+        return runs
+
+    def find_run(self, task: TaskId) -> int:
+        job = self.planner.state.jobs.get(task.job_id)
+        if job is None:
+            return 0
+        return max((unit.last_run for unit in job.units.values()), default=0)
+
+    def judge_room(
+        self, server: PlatformServer, record: JobRecord, step: StepOrder, task: TaskId
+    ) -> None:
+        used = [
+            self.orders[item.task.job_id].order.steps[item.task.step].shape
+            for item in server.runs.values()
+        ] + [step.shape]
+        if sum(shape.accelerators for shape in used) > server.capacity.accelerators:
+            self.violations.append(f"LIMIT: {task} on {server.name}")
+
+    def judge_end(self, server: PlatformServer, run: Run, kind: EndKind | None) -> None:
+        self.live[run.task].remove((server.name, run.run))
+        if kind is EndKind.DONE:
+            self.ended_done.add(run.task)
+            place = (server.name, server.life, server.lapses, server.last_end)
+            self.end_places[run.task] = place
+        if kind is EndKind.FAILED:
+            place = (server.name, server.life, server.lapses, server.last_end)
+            self.fail_places[run.task, run.run] = (*place, self.now)
+        if kind is EndKind.ALONE and not self.disturbed:
+            self.violations.append(f"GANG: {run.task} {run.run} ended alone")
+
+    def judge_finish(self) -> None:
+        """Check that every job has ended as it must, once the world is calm."""
+        for job_id, record in self.orders.items():
+            phase = self.find_phase(job_id)
+            allowed = {JobPhase.COMPLETED}
+            if job_id in self.cancelled_at:
+                allowed |= {JobPhase.CANCELLED, JobPhase.FAILED}
+            # A failed run may count though its server died before it was told
+            # that the end is recorded.
+            if self.may_have_failed(job_id, record):
+                allowed.add(JobPhase.FAILED)
+            if phase not in allowed:
+                self.violations.append(f"LOST: {job_id} is {phase}")
+            if phase is JobPhase.COMPLETED:
+                self.judge_completed(job_id, record)
+
+    def may_have_failed(self, job_id: str, record: JobRecord) -> bool:
+        """Tell whether some unit of a job failed as often as its queue allows."""
+        runs: dict[tuple[int, int], set[int]] = {}
+        for task, run in self.fail_places:
+            if task.job_id == job_id:
+                gang = record.order.steps[task.step].gang
+                key = (task.step, -1 if gang else task.index)
+                runs.setdefault(key, set()).add(run)
+        return any(len(item) >= record.attempt_limit for item in runs.values())
+
+    def judge_completed(self, job_id: str, record: JobRecord) -> None:
+        for number, step in enumerate(record.order.steps):
+            for index in range(step.count):
+                if TaskId(job_id, 0, number, index) not in self.ended_done:
+                    self.violations.append(f"MIXED: {job_id} step {number} {index}")
