Play the platform by stand-ins, and test daemons on it as processes

Change: stand-ins of the store (partitions, keys, epochs, groups) and of the backend servers, one process for both, and daemons beside it. Tests cover bad input, keys, unknown jobs, lost answers and outages of the store, a killed and a terminated planner, cancellation, and history that was trimmed.

--- a/src/cardamomdyke/planner/contacts.py
+++ b/src/cardamomdyke/planner/contacts.py
@@ -185,7 +185,8 @@
     server.noted = server.acknowledged = server.confirmed_end = 0
     server.strays.clear()
     server.failures = 0
-    present = {(item.task, item.run) for item in (*lists.running, *lists.ended)}
+    present = {(report.task, report.run) for report in lists.running}
+    present |= {(end.task, end.run) for end in lists.ended}
     for job, unit, member in list_holders(state, server):
         if unit.attempt is None or member.phase is not MemberPhase.RUNNING:
             continue
--- a/src/cardamomdyke_standins/deployment.py
+++ b/src/cardamomdyke_standins/deployment.py
@@ -54,6 +54,10 @@
     daemon_command: list[str]
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        """Let the processes find the packages of this tree."""
+        os.environ.setdefault("PYTHONPATH", str(Path(__file__).parents[1]))
+
     def start_process(self, name: str, command: list[str]) -> None:
         """Start one process with its standard error in a file."""
         with open(self.directory / f"{name}.log", "ab") as log:
@@ -421,7 +425,6 @@
     """
     directory.mkdir(parents=True, exist_ok=True)
     command = daemon_command or [sys.executable, "-m", "cardamomdyke.cli.commands"]
-    os.environ.setdefault("PYTHONPATH", str(Path(__file__).parents[1]))
     deployment = Deployment(directory, example, command)
     try:
         deployment.start_all()
--- /dev/null
+++ b/src/cardamomdyke_standins/nodes.py
@@ -0,0 +1,214 @@
+"""Daemons on a played platform: processes on loopback sockets."""
+
+import signal
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+from urllib.error import HTTPError
+
+from msgspec.json import decode, encode
+
+from cardamomdyke_standins.deployment import (
+    Deployment,
+    release_ports,
+    reserve_ports,
+    send_http,
+    try_http,
+    wait_until,
+)
+
+HOST = "127.0.0.1"
+KEY = "key-of-the-desk"
+PREFIX = "/orders/"
+ROUTE_HOST = "desk.example"
+PEER_PORTS = 2
+BOUNDS = {
+    "hold_max_ms": 10_000,
+    "stop_grace_ms": 400,
+    "gang_wait_ms": 3_000,
+    "grace_period_s": 6.0,
+    "status_s": 120,
+    "early_ms": 250,
+    "remote_factor": 3,
+    "checkpoint_interval_s": 2,
+    "restore_ms": 100,
+    "reclaim_ms": 2_900,
+}
+TABLES: dict[str, Any] = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "orders",
+            "host": ROUTE_HOST,
+            "path_prefix": PREFIX,
+            "service": "order-desk",
+            "priority": 1,
+            "max_attempts": 2,
+            "stretch": 3.0,
+            "target_duration_ms": 1000,
+        }
+    ],
+    "services": [{"name": "order-desk", "enforces_capacity": False}],
+    "tenants": [{"name": "koffie-invoer", "api_keys": [KEY]}],
+    "limits": {"max_body_bytes": 262_144},
+}
+
+
+@dataclass
+class Nodes:
+    """A played platform with the daemons of some VMs.
+
+    Attributes
+    ----------
+    directory : Path
+        Where settings and logs go.
+    store : str
+        ``host:port`` of the store.
+    servers : dict of str to str
+        ``host:port`` of each backend server, by name.
+    callers : dict of str to str
+        ``host:port`` for callers of each VM, by name.
+    readiness : dict of str to str
+        ``host:port`` for the balancer of each VM, by name.
+    """
+
+    directory: Path
+    store: str
+    servers: dict[str, str]
+    callers: dict[str, str]
+    readiness: dict[str, str]
+    deployment: Deployment = field(init=False)
+
+    def __post_init__(self) -> None:
+        command = [sys.executable, "-m", "cardamomdyke"]
+        self.deployment = Deployment(self.directory, {"vms": []}, command)
+
+    def start_platform(self) -> None:
+        """Start the platform's store and backend servers."""
+        plan = self.directory / "plan.json"
+        content = {"store": self.store, "servers": self.servers, "tables": TABLES}
+        plan.write_bytes(encode(content))
+        self.deployment.start_standin("platform", "platform", plan=plan)
+        url = f"http://{self.store}/log-newest?topic=keyed.op&part=0"
+        wait_until(lambda: try_http("GET", url) is not None)
+
+    def start_node(self, vm: str) -> None:
+        """Start the daemon of one VM."""
+        number = list(self.callers).index(vm)
+        first_peer = int(self.store.rpartition(":")[2]) + 40 + number * PEER_PORTS
+        settings = {
+            "node_name": vm,
+            "ip_address": HOST,
+            "zone": "gent",
+            "zones": {"gent": "vlaanderen"},
+            "listen_addresses": {
+                "frontend_addr": self.callers[vm],
+                "readiness_addr": self.readiness[vm],
+            },
+            "internal_port_range": [first_peer, first_peer + PEER_PORTS - 1],
+            "bounds": BOUNDS,
+            "platform": {
+                "address": self.store,
+                "record_bytes": 262_144,
+                "request_bytes": 2_097_152,
+                "min_ttl_ms": 1000,
+            },
+        }
+        path = self.directory / f"{vm}.json"
+        path.write_bytes(encode(settings))
+        command = [*self.deployment.daemon_command, "node", f"--config={path}"]
+        self.deployment.start_process(vm, command)
+
+    def check_ready(self, vm: str) -> bool:
+        """Tell whether a VM reports that it takes requests."""
+        return try_http("GET", f"http://{self.readiness[vm]}/readiness") is not None
+
+    def call(
+        self,
+        vm: str,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        key: str = KEY,
+        host: str = ROUTE_HOST,
+    ) -> tuple[int, Any]:
+        """Send one request of a caller; return status and JSON."""
+        headers = {"Host": host, "Api-Key": key}
+        if not key:
+            del headers["Api-Key"]
+        url = f"http://{self.callers[vm]}{path}"
+        try:
+            return 200, decode(send_http(method, url, body, headers) or b"null")
+        except HTTPError as error:
+            return error.code, decode(error.read() or b"null")
+
+    def read_state(self, vm: str, job_id: str) -> str:
+        """Return the state of a job, or an empty text."""
+        code, answer = self.call(vm, "GET", PREFIX + job_id)
+        return str(answer["state"]) if code == 200 else ""
+
+    def find_planner(self) -> str:
+        """Return the VM that began to plan last, by the logs."""
+        newest = (0.0, "")
+        for vm in self.callers:
+            for line in self.read_log(vm):
+                if line["message_type"] == "planner.took_over":
+                    newest = max(newest, (line["timestamp"], vm))
+        return newest[1]
+
+    def read_log(self, vm: str) -> list[dict[str, Any]]:
+        """Return the log lines of a VM."""
+        path = self.directory / f"{vm}.log"
+        lines = path.read_bytes().splitlines() if path.exists() else []
+        return [decode(line) for line in lines if line.startswith(b"{")]
+
+    def stop(self) -> None:
+        """End every process that was started."""
+        for process in self.deployment.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+            process.wait()
+        self.deployment.processes.clear()
+
+
+@contextmanager
+def run_nodes(directory: Path, vms: int = 3, servers: int = 3) -> Iterator[Nodes]:
+    """Bring a played platform and its daemons up for a ``with`` block.
+
+    Parameters
+    ----------
+    directory : Path
+        Where settings and logs go.
+    vms : int
+        Number of daemons.
+    servers : int
+        Number of backend servers.
+
+    Yields
+    ------
+    Nodes
+        All daemons ready.
+    """
+    first = reserve_ports(1 + servers + 2 * vms + 40 + PEER_PORTS * vms)
+    server_ports = range(first + 1, first + 1 + servers)
+    vm_ports = range(first + 1 + servers, first + 1 + servers + vms)
+    nodes = Nodes(
+        directory,
+        f"{HOST}:{first}",
+        {f"s{i}": f"{HOST}:{port}" for i, port in enumerate(server_ports)},
+        {f"vm{i}": f"{HOST}:{port}" for i, port in enumerate(vm_ports)},
+        {f"vm{i}": f"{HOST}:{port + vms}" for i, port in enumerate(vm_ports)},
+    )
+    try:
+        nodes.start_platform()
+        for vm in nodes.callers:
+            nodes.start_node(vm)
+        for vm in nodes.callers:
+            wait_until(lambda vm=vm: nodes.check_ready(vm))  # type: ignore[misc]
+        yield nodes
+    finally:
+        nodes.stop()
+        release_ports({"store": nodes.store})
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -85,7 +85,9 @@
     world = make_world(1, guaranteed=8)
     world.submit(JOB, [(make_step(8, 1), StepPlan(60.0, 8))], priority=2)
     world.run_for(2.0)
-    world.submit(OTHER, [(make_step(1, 8), StepPlan(30.0))], priority=0, account="owner")
+    world.submit(
+        OTHER, [(make_step(1, 8), StepPlan(30.0))], priority=0, account="owner"
+    )
     world.submit(THIRD, [(make_step(8, 1), StepPlan(60.0, 8))], priority=1)
     world.run_for(RECLAIM_SECONDS)
     (run,) = world.hall.servers["s0"].runs.values()
--- /dev/null
+++ b/tests/processes/test_node.py
@@ -0,0 +1,177 @@
+"""Daemons on the played platform, as processes."""
+
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from msgspec.json import encode
+
+from cardamomdyke_standins.deployment import send_http, set_faults, wait_until
+from cardamomdyke_standins.nodes import PREFIX, Nodes, run_nodes
+from cardamomdyke_standins.platform_server import StepPlan, encode_plan
+
+pytestmark = pytest.mark.processes
+JOB = "00000000000000a1"
+OTHER = "00000000000000b2"
+
+
+@pytest.fixture
+def nodes(tmp_path: Path) -> Iterator[Nodes]:
+    with run_nodes(tmp_path) as running:
+        yield running
+
+
+def make_body(seconds: float = 0.5, **step: Any) -> bytes:
+    fields = {"count": 2, "cpu_millicores": 100, "accelerators": 2, **step}
+    plan = StepPlan(seconds, fields["count"], bool(fields.get("gang")))
+    body = {"specification": encode_plan([plan]), "steps": [fields]}
+    return encode(body)
+
+
+def test_job_is_served_through_every_vm(nodes: Nodes) -> None:
+    """Guards against a job that only the VM that took it knows."""
+    assert nodes.call("vm0", "POST", PREFIX + JOB, make_body(gang=True))[0] == 200
+    assert nodes.call("vm1", "POST", PREFIX + JOB, make_body(gang=True))[0] == 200
+    for vm in nodes.callers:
+        wait_until(lambda vm=vm: nodes.read_state(vm, JOB) == "completed")  # type: ignore[misc]
+    assert nodes.call("vm2", "GET", PREFIX) == (200, {"pending": 0})
+
+
+def test_killed_planner_is_replaced(nodes: Nodes) -> None:
+    """Guards against running work that is lost with its planner."""
+    body = make_body(6.0)
+    assert nodes.call("vm0", "POST", PREFIX + JOB, body)[0] == 200
+    wait_until(lambda: nodes.read_state("vm0", JOB) == "running")
+    planner = nodes.find_planner()
+    nodes.deployment.processes[planner].kill()
+    (other, *_) = [vm for vm in nodes.callers if vm != planner]
+    assert nodes.call(other, "POST", PREFIX + OTHER, make_body())[0] == 200
+    wait_until(lambda: nodes.read_state(other, OTHER) == "completed")
+    wait_until(lambda: nodes.read_state(other, JOB) == "completed")
+    lines = [line for vm in nodes.callers for line in nodes.read_log(vm)]
+    placed = [
+        line
+        for line in lines
+        if line["message_type"] == "unit.placed" and line["subject"] == JOB
+    ]
+    assert len(placed) == 2
+
+
+def test_cancelled_job_stops(nodes: Nodes) -> None:
+    """Guards against a cancellation that only the VM that took it knows."""
+    assert nodes.call("vm0", "POST", PREFIX + JOB, make_body(60.0))[0] == 200
+    wait_until(lambda: nodes.read_state("vm1", JOB) == "running")
+    assert nodes.call("vm1", "DELETE", PREFIX + JOB)[0] == 200
+    wait_until(lambda: nodes.read_state("vm2", JOB) == "cancelled")
+    assert nodes.call("vm0", "POST", PREFIX + JOB, make_body(60.0))[0] == 200
+    assert nodes.read_state("vm0", JOB) == "cancelled"
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "code"),
+    [
+        (PREFIX + JOB, b"{", 400),
+        (PREFIX + JOB, b"[]", 400),
+        (PREFIX + JOB, encode({"specification": "x", "steps": []}), 400),
+        (PREFIX + JOB, encode({"specification": 1, "steps": [{}]}), 400),
+        (PREFIX + JOB, make_body(count=0), 400),
+        (PREFIX + JOB, make_body(after=[0]), 400),
+        (PREFIX + JOB, make_body(accelerators=-1), 400),
+        (PREFIX + JOB, make_body(accelerators="2"), 400),
+        (PREFIX + JOB, make_body() + b" " * 300_000, 413),
+        (PREFIX + "no-id", make_body(), 400),
+        (PREFIX + JOB.upper(), make_body(), 400),
+        ("/elsewhere/" + JOB, make_body(), 404),
+    ],
+)
+def test_bad_input_is_refused(
+    shared_nodes: Nodes, path: str, body: bytes, code: int
+) -> None:
+    """Guards against bad input that is taken, or that disturbs the daemon."""
+    got, answer = shared_nodes.call("vm0", "POST", path, body)
+    assert got == code
+    assert answer["error"]
+    assert answer["remedy"]
+    assert shared_nodes.call("vm0", "GET", PREFIX)[1] == {"pending": 0}
+
+
+@pytest.fixture(scope="module")
+def shared_nodes(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Nodes]:
+    with run_nodes(tmp_path_factory.mktemp("nodes"), vms=1, servers=1) as running:
+        yield running
+
+
+def test_unknown_key_is_refused(shared_nodes: Nodes) -> None:
+    """Guards against callers without a valid key."""
+    for key in ("", "another"):
+        path = PREFIX + JOB
+        assert shared_nodes.call("vm0", "POST", path, make_body(), key)[0] == 401
+        assert shared_nodes.call("vm0", "GET", path, key=key)[0] == 401
+
+
+def test_unknown_job_is_gone(shared_nodes: Nodes) -> None:
+    """Guards against jobs that nobody submitted."""
+    assert shared_nodes.call("vm0", "GET", PREFIX + OTHER)[0] == 410
+    assert shared_nodes.call("vm0", "DELETE", PREFIX + OTHER)[0] == 410
+
+
+def test_lost_answer_of_the_store_is_not_a_refusal(nodes: Nodes) -> None:
+    """Guards against "not run" for a job that the store has taken."""
+    set_faults(nodes.store, lose_answers=3)
+    codes = set()
+    for number in range(6):
+        job_id = f"{number:016x}"
+        code = nodes.call("vm0", "POST", PREFIX + job_id, make_body())[0]
+        codes.add(code)
+        if code == 503:
+            assert nodes.call("vm1", "GET", PREFIX + job_id)[0] == 410
+    assert codes <= {200, 503, 504}
+    set_faults(nodes.store)
+    for number in range(6):
+        job_id = f"{number:016x}"
+        body = make_body()
+        assert nodes.call("vm1", "POST", PREFIX + job_id, body)[0] == 200
+        wait_until(lambda job=job_id: nodes.read_state("vm2", job) == "completed")  # type: ignore[misc]
+
+
+def test_store_outage_is_survived(nodes: Nodes) -> None:
+    """Guards against daemons that do not come back after the store."""
+    assert nodes.call("vm0", "POST", PREFIX + JOB, make_body(4.0))[0] == 200
+    wait_until(lambda: nodes.read_state("vm0", JOB) == "running")
+    set_faults(nodes.store, down=True)
+    wait_until(lambda: not any(nodes.check_ready(vm) for vm in nodes.callers))
+    code, answer = nodes.call("vm0", "POST", PREFIX + OTHER, make_body())
+    assert code == 503
+    assert answer["remedy"]
+    set_faults(nodes.store)
+    wait_until(lambda: all(nodes.check_ready(vm) for vm in nodes.callers))
+    wait_until(lambda: nodes.read_state("vm0", JOB) == "completed")
+
+
+def test_terminated_daemon_hands_over(nodes: Nodes) -> None:
+    """Guards against a shutdown after which nobody plans for long."""
+    planner = nodes.find_planner()
+    process = nodes.deployment.processes[planner]
+    process.send_signal(signal.SIGTERM)
+    wait_until(lambda: not nodes.check_ready(planner))
+    (other, *_) = [vm for vm in nodes.callers if vm != planner]
+    assert nodes.call(other, "POST", PREFIX + JOB, make_body())[0] == 200
+    wait_until(lambda: nodes.read_state(other, JOB) == "completed")
+    assert process.wait(30) == 0
+    kinds = [line["message_type"] for line in nodes.read_log(planner)]
+    assert kinds[-1] == "daemon.stopped"
+
+
+def test_trimmed_history_is_read_anew(nodes: Nodes) -> None:
+    """Guards against a daemon that misses what the store's history has lost."""
+    process = nodes.deployment.processes["vm0"]
+    process.send_signal(signal.SIGSTOP)
+    path = PREFIX + JOB
+    assert nodes.call("vm1", "POST", path, make_body())[0] == 200
+    wait_until(lambda: nodes.read_state("vm1", JOB) == "completed")
+    trim = f"http://{nodes.store}/log-trim?topic=keyed.work&part=0&before=1000"
+    send_http("POST", trim, b"")
+    process.send_signal(signal.SIGCONT)
+    wait_until(lambda: nodes.read_state("vm0", JOB) == "completed")
