Read the settings file again on SIGHUP and when it changes

The platform sends it when the settings file has changed, and may change the file without a signal.

Change: control/reload.py reads the file on the signal and each 5 s, refuses a file that cannot be used, takes the bounds over and logs what needs a restart.

Figures: the new test fails without the handler (the process ends) and passes with it.

Conclusion: the daemon survives the signal.

--- a/src/cardamomdyke/cli/commands.py
+++ b/src/cardamomdyke/cli/commands.py
@@ -54,7 +54,8 @@
     import asyncio
     import os
 
-    from cardamomdyke.control.app import load_settings, run_node
+    from cardamomdyke.control.app import run_node
+    from cardamomdyke.control.reload import load_settings
     from cardamomdyke.platform.settings import SETTINGS_VARIABLE
 
     path = flags.pop("config", os.environ.get(SETTINGS_VARIABLE, ""))
@@ -69,7 +70,7 @@
         problem = result.error
         print(f"{problem.kind}: {problem.message}; {problem.remedy}", file=sys.stderr)
         sys.exit(EXIT_BAD_COMMAND)
-    asyncio.run(run_node(result.ok))
+    asyncio.run(run_node(result.ok, path))
 
 
 def fail_command(kind: ProblemKind, message: str) -> NoReturn:
--- a/src/cardamomdyke/control/app.py
+++ b/src/cardamomdyke/control/app.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import signal
-from pathlib import Path
 
-from expression import Result
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
@@ -19,10 +17,10 @@
 )
 from cardamomdyke.control.journal import make_journal
 from cardamomdyke.control.leadership import Leadership
+from cardamomdyke.control.reload import Reloader
 from cardamomdyke.jobs.ledger import Ledger, apply_record
 from cardamomdyke.jobs.records import WORK_TOPIC
-from cardamomdyke.model.errors import Problem, ProblemKind, make_problem
-from cardamomdyke.platform.settings import NodeSettings, decode_settings
+from cardamomdyke.platform.settings import NodeSettings
 from cardamomdyke.platform.store import OPERATOR_TOPIC, KeyedRecord, StoreClient
 
 # Long polls end after this time, so that a connection that went silent is
@@ -37,16 +35,6 @@
 LARGEST_BODY_BYTES = 1_048_576
 
 
-def load_settings(path: str) -> Result[NodeSettings, Problem]:
-    """Read the settings file that the platform has written."""
-    try:
-        data = Path(path).read_bytes()
-    except OSError as error:
-        message = f"the settings file {path} cannot be read: {error}"
-        return Result.Error(make_problem(ProblemKind.INVALID_SETTING, message))
-    return decode_settings(data)
-
-
 def make_context(settings: NodeSettings) -> Context:
     """Build the shared parts of a daemon; needs a running loop."""
     journal = make_journal(settings.vm)
@@ -84,8 +72,16 @@
     context.work.reset = reset
 
 
-async def run_node(settings: NodeSettings) -> None:
-    """Serve until a termination signal, then drain and return."""
+async def run_node(settings: NodeSettings, path: str) -> None:
+    """Serve until a termination signal, then drain and return.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings of the daemon.
+    path : str
+        File that they were read from; it is read again when it changes.
+    """
     context = make_context(settings)
     journal = context.journal
     started = round(read_unix_time() * 1000)
@@ -101,8 +97,10 @@
         lambda: None,
         wait_seconds=POLL_SECONDS,
     )
+    reloader = Reloader(path, settings, journal, context.take_settings)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, reloader.ask)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     servers = [
@@ -116,6 +114,7 @@
             operator_feed.follow_forever(),
             context.work.follow_forever(),
             planning.run_forever(),
+            reloader.watch_forever(),
         )
     ]
     journal.write("daemon.started", settings.vm, domain=settings.failure_domain)
--- a/src/cardamomdyke/control/context.py
+++ b/src/cardamomdyke/control/context.py
@@ -159,3 +159,7 @@
     operator: OperatorState
     work: TopicFeed
     stopping: bool = False
+
+    def take_settings(self, settings: NodeSettings) -> None:
+        """Take over settings that were read again."""
+        self.settings = settings
--- /dev/null
+++ b/src/cardamomdyke/control/reload.py
@@ -0,0 +1,108 @@
+"""Reads the settings file again when it changes, with or without a signal."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field, fields
+from pathlib import Path
+
+from expression import Error, Result
+
+from cardamomdyke.control.journal import Journal
+from cardamomdyke.model.errors import Problem, ProblemKind, make_problem
+from cardamomdyke.platform.settings import NodeSettings, decode_settings
+
+# The platform may change the file without a signal.
+CHECK_SECONDS = 5.0
+# Parts that a running daemon takes over; the others need a restart.
+LIVE_FIELDS = frozenset({"bounds"})
+
+
+def load_settings(path: str) -> Result[NodeSettings, Problem]:
+    """Read the settings file that the platform has written.
+
+    Parameters
+    ----------
+    path : str
+        Path of the file.
+
+    Returns
+    -------
+    Result of NodeSettings or Problem
+        The settings, or why they cannot be used.
+    """
+    try:
+        data = Path(path).read_bytes()
+    except OSError as error:
+        message = f"the settings file {path} cannot be read: {error}"
+        return Error(make_problem(ProblemKind.INVALID_SETTING, message))
+    return decode_settings(data)
+
+
+def list_changed(former: NodeSettings, newer: NodeSettings) -> list[str]:
+    """Return the names of the settings that differ."""
+    return [
+        item.name
+        for item in fields(NodeSettings)
+        if getattr(former, item.name) != getattr(newer, item.name)
+    ]
+
+
+@dataclass
+class Reloader:
+    """Keeps the settings of a daemon current.
+
+    Attributes
+    ----------
+    path : str
+        Path of the settings file.
+    settings : NodeSettings
+        Settings as they were read last.
+    journal : Journal
+        Log of the daemon.
+    apply : callable
+        Takes new settings.
+    """
+
+    path: str
+    settings: NodeSettings
+    journal: Journal
+    apply: Callable[[NodeSettings], None]
+    asked: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def ask(self) -> None:
+        """Read the file soon, as a signal demands."""
+        self.asked.set()
+
+    async def watch_forever(self) -> None:
+        """Read the file on demand and in intervals, until cancelled."""
+        while True:
+            try:
+                await asyncio.wait_for(self.asked.wait(), CHECK_SECONDS)
+                self.asked.clear()
+                self.reload("signal")
+            except TimeoutError:
+                self.reload("interval")
+
+    def reload(self, reason: str) -> None:
+        """Read the file, and take over what a running daemon can."""
+        result = load_settings(self.path)
+        if result.is_error():
+            self.journal.write(
+                "settings.refused",
+                self.path,
+                reason=reason,
+                detail=result.error.message,
+            )
+            return
+        changed = list_changed(self.settings, result.ok)
+        if not changed and reason == "interval":
+            return
+        self.settings = result.ok
+        self.journal.write(
+            "settings.reloaded",
+            self.path,
+            reason=reason,
+            changed=changed,
+            after_restart=[name for name in changed if name not in LIVE_FIELDS],
+        )
+        self.apply(result.ok)
--- a/tests/processes/test_node.py
+++ b/tests/processes/test_node.py
@@ -175,3 +175,28 @@
     send_http("POST", trim, b"")
     process.send_signal(signal.SIGCONT)
     wait_until(lambda: nodes.read_state("vm0", JOB) == "completed")
+
+
+def test_settings_are_read_again(shared_nodes: Nodes) -> None:
+    """Guards against a daemon that ends when its settings file changes.
+
+    Found by a hunted day: the signal ended the process.
+    """
+    path = shared_nodes.directory / "vm0.json"
+    process = shared_nodes.deployment.processes["vm0"]
+
+    def find_lines(kind: str) -> list[dict[str, Any]]:
+        lines = shared_nodes.read_log("vm0")
+        return [line for line in lines if line["message_type"] == kind]
+
+    content = path.read_bytes()
+    path.write_bytes(b"{")
+    process.send_signal(signal.SIGHUP)
+    wait_until(lambda: len(find_lines("settings.refused")) > 0)
+    path.write_bytes(content.replace(b'"status_s":120', b'"status_s":60'))
+    process.send_signal(signal.SIGHUP)
+    wait_until(lambda: len(find_lines("settings.reloaded")) > 0)
+    assert find_lines("settings.reloaded")[0]["changed"] == ["bounds"]
+    path.write_bytes(content)
+    assert process.poll() is None
+    assert shared_nodes.call("vm0", "GET", PREFIX)[0] == 200
