Serve callers through a peer while a daemon does not reach the store

Change: daemons announce their addresses in keyed.work; control/desk.py serves requests, control/relay.py passes them to a peer (thrift over the internal port) when the own contact is older than 1.3 s or the store did not answer. A shutdown waits for requests in progress, as the product's does.

New tests cut one daemon, and the planner, from the store by the relay stand-in.

--- a/src/cardamomdyke/control/app.py
+++ b/src/cardamomdyke/control/app.py
@@ -9,6 +9,7 @@
 from cardamomdyke.adapters.http import make_http_client
 from cardamomdyke.control.clock import read_clock, read_unix_time
 from cardamomdyke.control.context import Context, OperatorState
+from cardamomdyke.control.desk import Desk
 from cardamomdyke.control.driver import Planning
 from cardamomdyke.control.feeds import TopicFeed
 from cardamomdyke.control.ingress import (
@@ -17,11 +18,22 @@
 )
 from cardamomdyke.control.journal import make_journal
 from cardamomdyke.control.leadership import Leadership
+from cardamomdyke.control.relay import Reception, Relay
 from cardamomdyke.control.reload import Reloader
 from cardamomdyke.jobs.ledger import Ledger, apply_record
 from cardamomdyke.jobs.records import WORK_TOPIC
+from cardamomdyke.membership.peers import (
+    PEER_PREFIX,
+    Peer,
+    decode_peer,
+    encode_peer,
+)
 from cardamomdyke.platform.settings import NodeSettings
 from cardamomdyke.platform.store import OPERATOR_TOPIC, KeyedRecord, StoreClient
+from cardamomdyke.protocol.client import PeerClient
+from cardamomdyke.protocol.gen.ttypes import RelayCall
+from cardamomdyke.protocol.progress import Progress
+from cardamomdyke.protocol.server import make_peer_application
 
 # Long polls end after this time, so that a connection that went silent is
 # noticed; the configuration has to be in force within 2 s.
@@ -31,14 +43,18 @@
 BALANCER_SECONDS = 2.5
 # Left of the time between SIGTERM and SIGKILL for the last answers.
 EXIT_MARGIN_SECONDS = 1.0
+DRAIN_STEP_SECONDS = 0.05
 IDLE_CONNECTION_SECONDS = 30.0
+# Pause before a daemon announces itself again to a store that did not answer.
+ANNOUNCE_SECONDS = 0.5
 LARGEST_BODY_BYTES = 1_048_576
 
 
 def make_context(settings: NodeSettings) -> Context:
     """Build the shared parts of a daemon; needs a running loop."""
     journal = make_journal(settings.vm)
-    http = make_http_client()
+    # Outgoing connections come from the VM's own address.
+    http = make_http_client(settings.host)
     store = StoreClient(http, settings.store.address)
     ledger = Ledger()
     operator = OperatorState(journal)
@@ -55,9 +71,12 @@
 
 
 def connect_ledger(context: Context, planning: Planning) -> None:
-    """Let the feed of jobs keep the ledger and the planner current."""
+    """Let the feed of jobs keep the ledger, the peers and the planner current."""
 
     def apply(record: KeyedRecord) -> None:
+        if record.key.startswith(PEER_PREFIX):
+            apply_peer(context, record)
+            return
         change = apply_record(context.ledger, record.key, record.value)
         if change.detail:
             context.journal.write("record.malformed", record.key, detail=change.detail)
@@ -72,6 +91,61 @@
     context.work.reset = reset
 
 
+def apply_peer(context: Context, record: KeyedRecord) -> None:
+    """Take over what a daemon announces of itself."""
+    vm = record.key.removeprefix(PEER_PREFIX)
+    if not record.value:
+        context.peers.pop(vm, None)
+        return
+    result = decode_peer(record.value)
+    if result.is_error():
+        context.journal.write("record.malformed", record.key, detail=result.error)
+        return
+    context.peers[vm] = result.ok
+
+
+async def announce(context: Context, peer: Peer) -> None:
+    """Tell the other daemons where this one is, once the store is reached."""
+    record = KeyedRecord(PEER_PREFIX + peer.vm, encode_peer(peer))
+    while (await context.store.append_records(WORK_TOPIC, [record])).is_error():
+        await asyncio.sleep(ANNOUNCE_SECONDS)
+
+
+def make_reception(context: Context) -> Reception:
+    """Build what serves callers."""
+    relay = Relay(context, PeerClient(context.http))
+    return Reception(context, Desk(context), relay)
+
+
+def start_servers(
+    context: Context, peer: Peer, reception: Reception, progress: Progress
+) -> list[HTTPServer]:
+    """Listen for callers, for the balancer and for the other daemons."""
+    settings = context.settings
+    peers = make_peer_application(
+        {"relay_request": (reception.answer_peer, RelayCall)}, progress
+    )
+    callers = make_caller_application(reception, progress)
+    return [
+        start_server(callers, settings.caller_address),
+        start_server(make_readiness_application(context), settings.readiness_address),
+        start_server(peers, peer.address),
+    ]
+
+
+def make_operator_feed(context: Context) -> TopicFeed:
+    """Build the feed that keeps configuration and evacuations current."""
+    return TopicFeed(
+        context.store,
+        OPERATOR_TOPIC,
+        context.journal,
+        context.operator.apply,
+        context.operator.reset,
+        lambda: None,
+        wait_seconds=POLL_SECONDS,
+    )
+
+
 async def run_node(settings: NodeSettings, path: str) -> None:
     """Serve until a termination signal, then drain and return.
 
@@ -88,31 +162,23 @@
     leadership = Leadership(context.store, journal, f"{settings.vm}.{started}")
     planning = Planning(context, leadership)
     connect_ledger(context, planning)
-    operator_feed = TopicFeed(
-        context.store,
-        OPERATOR_TOPIC,
-        journal,
-        context.operator.apply,
-        context.operator.reset,
-        lambda: None,
-        wait_seconds=POLL_SECONDS,
-    )
     reloader = Reloader(path, settings, journal, context.take_settings)
+    address = f"{settings.host}:{settings.peer_port}"
+    peer = Peer(settings.vm, address, settings.failure_domain)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, reloader.ask)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    servers = [
-        start_server(make_caller_application(context), settings.caller_address),
-        start_server(make_readiness_application(context), settings.readiness_address),
-    ]
+    progress = Progress()
+    servers = start_servers(context, peer, make_reception(context), progress)
     joining = loop.create_task(leadership.join_forever())
     tasks = [
         loop.create_task(coroutine)
         for coroutine in (
-            operator_feed.follow_forever(),
+            make_operator_feed(context).follow_forever(),
             context.work.follow_forever(),
+            announce(context, peer),
             planning.run_forever(),
             reloader.watch_forever(),
         )
@@ -120,7 +186,7 @@
     journal.write("daemon.started", settings.vm, domain=settings.failure_domain)
     await stop.wait()
     joining.cancel()
-    await drain(context, leadership, servers)
+    await drain(context, leadership, servers, progress)
     for task in tasks:
         task.cancel()
     await asyncio.gather(joining, *tasks, return_exceptions=True)
@@ -140,17 +206,23 @@
 
 
 async def drain(
-    context: Context, leadership: Leadership, servers: list[HTTPServer]
+    context: Context,
+    leadership: Leadership,
+    servers: list[HTTPServer],
+    progress: Progress,
 ) -> None:
     """Hand the planning over, and serve on until the balancer has noticed."""
     began = read_clock()
     context.stopping = True
+    progress.draining = True
     context.journal.write("daemon.draining", context.settings.vm)
     await leadership.leave()
     await asyncio.sleep(max(0.0, BALANCER_SECONDS - (read_clock() - began)))
     for server in servers:
         server.stop()
     grace = context.settings.bounds.shutdown_grace_seconds - EXIT_MARGIN_SECONDS
+    while progress.requests and read_clock() - began < grace:
+        await asyncio.sleep(DRAIN_STEP_SECONDS)
     left = max(0.1, grace - (read_clock() - began))
     try:
         closing = asyncio.gather(
--- a/src/cardamomdyke/control/context.py
+++ b/src/cardamomdyke/control/context.py
@@ -7,6 +7,7 @@
 from cardamomdyke.control.feeds import TopicFeed
 from cardamomdyke.control.journal import Journal
 from cardamomdyke.jobs.ledger import Ledger
+from cardamomdyke.membership.peers import Peer
 from cardamomdyke.model.queues import QueueTables
 from cardamomdyke.model.servers import ServerEntry
 from cardamomdyke.platform.servers import decode_entry
@@ -147,6 +148,8 @@
         Configuration and evacuations.
     work : TopicFeed
         Keeps the ledger current.
+    peers : dict of str to Peer
+        Daemons that have announced themselves, by VM.
     stopping : bool
         True once the daemon has been told to stop.
     """
@@ -158,6 +161,7 @@
     ledger: Ledger
     operator: OperatorState
     work: TopicFeed
+    peers: dict[str, Peer] = field(default_factory=dict)
     stopping: bool = False
 
     def take_settings(self, settings: NodeSettings) -> None:
--- /dev/null
+++ b/src/cardamomdyke/control/desk.py
@@ -0,0 +1,422 @@
+"""Serves callers' requests: submission, state, cancellation and pending count."""
+
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from expression import Error, Ok, Result
+
+from cardamomdyke.control.clock import read_clock, read_unix_time
+from cardamomdyke.control.context import Context
+from cardamomdyke.jobs.admission import check_job_id, check_order, find_unserved
+from cardamomdyke.jobs.ledger import count_waiting, find_phase
+from cardamomdyke.jobs.records import (
+    CANCELLATION_PREFIX,
+    FINAL_PHASES,
+    JOB_PREFIX,
+    WORK_TOPIC,
+    JobRecord,
+    encode_job,
+)
+from cardamomdyke.model.queues import Account, QueueRoute, QueueTables, find_route
+from cardamomdyke.platform.store import KeyedRecord, StoreFaultKind
+from cardamomdyke.platform.submissions import (
+    decode_submission,
+    encode_refusal,
+    encode_state,
+    encode_waiting,
+)
+
+# A caller that was refused because of a fault may come back after this long.
+RETRY_AFTER_SECONDS = 1
+# The feed's long poll is answered within 1 s when nothing happens. Without an
+# answer for this long, what is known here may be out of date.
+CONTACT_SECONDS = 1.3
+CANCELLATION_VALUE = b"1"
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """One request of a caller.
+
+    Attributes
+    ----------
+    method : str
+        HTTP method.
+    host : str
+        Host that the caller named, without a port.
+    path : str
+        Path of the request.
+    key : str
+        The caller's key; empty when there is none.
+    body : bytes
+        Body of the request.
+    """
+
+    method: str
+    host: str
+    path: str
+    key: str
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class CallerAnswer:
+    """Answer to a caller.
+
+    Attributes
+    ----------
+    code : int
+        HTTP status.
+    body : bytes
+        JSON.
+    retry_after_seconds : int
+        When to come back; 0 when that does not help.
+    reached : bool
+        False when the answer is a refusal because the store was not reached.
+    """
+
+    code: int
+    body: bytes
+    retry_after_seconds: int = 0
+    reached: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a request is not served.
+
+    Attributes
+    ----------
+    code : int
+        HTTP status.
+    kind : str
+        Kind of the refusal, for logs and counters.
+    detail : str
+        What is wrong.
+    remedy : str
+        What the caller can do.
+    retry_after_seconds : int
+        When to come back; 0 when that does not help.
+    """
+
+    code: int
+    kind: str
+    detail: str
+    remedy: str
+    retry_after_seconds: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """What an allowed request is about.
+
+    Attributes
+    ----------
+    tables : QueueTables
+        The configuration that allowed it.
+    route : QueueRoute
+        The queue.
+    account : Account or None
+        Client account of the key; None for an anonymous caller.
+    job_id : str
+        Rest of the path; empty for the queue itself.
+    """
+
+    tables: QueueTables
+    route: QueueRoute
+    account: Account | None
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """A job to take in."""
+
+    target: Target
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class StateQuery:
+    """A question about the state of a job."""
+
+    target: Target
+
+
+@dataclass(frozen=True, slots=True)
+class Cancellation:
+    """A wish to end a job."""
+
+    target: Target
+
+
+@dataclass(frozen=True, slots=True)
+class CountQuery:
+    """A question about the number of a queue's jobs that have not begun."""
+
+    target: Target
+
+
+Command = Submission | StateQuery | Cancellation | CountQuery
+
+NOT_REACHED = Refusal(
+    503,
+    "store_unreachable",
+    "this VM does not reach the platform's store; the request was not run",
+    "send the request again",
+    RETRY_AFTER_SECONDS,
+)
+NOT_KNOWN = Refusal(
+    504,
+    "not_known",
+    "the platform's store did not answer; it is not known whether this took effect",
+    "send the same request again",
+    RETRY_AFTER_SECONDS,
+)
+NO_TABLES = Refusal(
+    503,
+    "no_configuration",
+    "this VM has no configuration yet; the request was not run",
+    "send the request again",
+    RETRY_AFTER_SECONDS,
+)
+UNREACHED_KINDS = frozenset({NOT_REACHED.kind, NOT_KNOWN.kind, NO_TABLES.kind})
+
+
+def find_target(
+    tables: QueueTables | None, request: CallerRequest
+) -> Result[Target, Refusal]:
+    """Find the queue of a request, and check its key.
+
+    Parameters
+    ----------
+    tables : QueueTables or None
+        Configuration in force.
+    request : CallerRequest
+        The request.
+
+    Returns
+    -------
+    Result of Target or Refusal
+        What the request is about, or why it is refused.
+    """
+    if tables is None:
+        return Error(NO_TABLES)
+    route = find_route(tables, request.host, request.path)
+    if route is None:
+        detail = f"no queue has the path {request.path} on host {request.host}"
+        return Error(Refusal(404, "no_queue", detail, "use a queue of the tables"))
+    key = request.key
+    account = tables.accounts_by_key.get(key) if key else None
+    if account is None and (key or not route.anonymous):
+        detail = f"the key is not one of a client account, version {tables.version}"
+        return Error(Refusal(401, "unknown_key", detail, "present a valid key"))
+    job_id = request.path.removeprefix(route.prefix)
+    return Ok(Target(tables, route, account, job_id))
+
+
+def read_command(request: CallerRequest, target: Target) -> Result[Command, Refusal]:
+    """Return what an allowed request asks for."""
+    match request.method:
+        case "POST":
+            return Ok(Submission(target, request.body))
+        case "GET" if not target.job_id:
+            return Ok(CountQuery(target))
+        case "GET":
+            return Ok(StateQuery(target))
+        case "DELETE":
+            return Ok(Cancellation(target))
+    detail = f"method {request.method} is not served"
+    return Error(Refusal(405, "bad_method", detail, "use POST, GET or DELETE"))
+
+
+def read_job(target: Target, body: bytes) -> Result[JobRecord, Refusal]:
+    """Read and check a job that is handed in.
+
+    Parameters
+    ----------
+    target : Target
+        Queue, account and id.
+    body : bytes
+        Body of the request.
+
+    Returns
+    -------
+    Result of JobRecord or Refusal
+        The job, or what is wrong with it.
+    """
+    if not check_job_id(target.job_id):
+        detail = "a job's id is 16 hexadecimal digits"
+        return Error(Refusal(400, "bad_id", detail, "correct the path"))
+    if len(body) > target.tables.body_limit_bytes:
+        detail = f"the body is over {target.tables.body_limit_bytes} bytes"
+        return Error(Refusal(413, "body_too_large", detail, "send less"))
+    order = decode_submission(body).bind(check_order)
+    if order.is_error():
+        return Error(Refusal(400, "bad_job", order.error, "correct the job"))
+    route = target.route
+    unserved = "queues with advice" if route.advised else find_unserved(order.ok)
+    if unserved:
+        detail = f"not served yet: {unserved}"
+        return Error(Refusal(503, "not_served", detail, "leave this part out"))
+    return Ok(
+        JobRecord(
+            job_id=target.job_id,
+            queue=route.name,
+            account=target.account.name if target.account else "",
+            pool=route.pool,
+            priority=route.priority,
+            attempt_limit=route.attempt_limit,
+            stretch=route.stretch,
+            target_seconds=route.target_seconds,
+            accepted_at=read_unix_time(),
+            order=order.ok,
+        )
+    )
+
+
+def check_contact(context: Context, seconds: float = CONTACT_SECONDS) -> bool:
+    """Tell whether the store answered a short time ago."""
+    return read_clock() - context.work.answered_at <= seconds
+
+
+@dataclass
+class Desk:
+    """Serves requests from the ledger and the store.
+
+    Attributes
+    ----------
+    context : Context
+        Shared parts of the daemon.
+    """
+
+    context: Context
+
+    async def serve(self, request: CallerRequest) -> CallerAnswer:
+        """Answer one request.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            The request.
+
+        Returns
+        -------
+        CallerAnswer
+            The answer; 503 and 429 mean that the request has not run and never
+            will, 504 that this is not known.
+        """
+        target = find_target(self.context.operator.tables, request)
+        command = target.bind(lambda found: read_command(request, found))
+        if command.is_error():
+            return self.refuse(request.path, command.error)
+        return await self.perform(command.ok)
+
+    @singledispatchmethod
+    async def perform(self, command: Command) -> CallerAnswer:
+        """Carry out one command."""
+        raise TypeError(f"no way to perform {type(command).__name__}")
+
+    @perform.register
+    async def _(self, command: Submission) -> CallerAnswer:
+        job_id = command.target.job_id
+        result = read_job(command.target, command.body)
+        if result.is_error():
+            return self.refuse(job_id, result.error)
+        if job_id in self.context.ledger.jobs:
+            self.context.journal.write("job.repeated", job_id)
+            return self.answer_state(job_id)
+        return await self.accept_job(result.ok, command.target.tables.version)
+
+    @perform.register
+    async def _(self, command: CountQuery) -> CallerAnswer:
+        queue = command.target.route.name
+        waiting = count_waiting(self.context.ledger, [queue])
+        return CallerAnswer(200, encode_waiting(waiting))
+
+    @perform.register
+    async def _(self, command: StateQuery) -> CallerAnswer:
+        job_id = command.target.job_id
+        refusal = await self.look_up(job_id)
+        if refusal is not None:
+            return self.refuse(job_id, refusal)
+        return self.answer_state(job_id)
+
+    @perform.register
+    async def _(self, command: Cancellation) -> CallerAnswer:
+        job_id = command.target.job_id
+        refusal = await self.look_up(job_id)
+        if refusal is not None:
+            return self.refuse(job_id, refusal)
+        if find_phase(self.context.ledger, job_id) not in FINAL_PHASES:
+            record = KeyedRecord(CANCELLATION_PREFIX + job_id, CANCELLATION_VALUE)
+            refusal = await self.store_record(record)
+            if refusal is not None:
+                return self.refuse(job_id, refusal)
+            self.context.journal.write("job.cancel_accepted", job_id)
+        return self.answer_state(job_id)
+
+    async def accept_job(self, record: JobRecord, version: int) -> CallerAnswer:
+        """Store a job, and answer that it is accepted."""
+        began = read_clock()
+        key = JOB_PREFIX + record.job_id
+        refusal = await self.store_record(KeyedRecord(key, encode_job(record)))
+        if refusal is not None:
+            return self.refuse(record.job_id, refusal)
+        self.context.journal.write(
+            "job.accepted",
+            record.job_id,
+            queue=record.queue,
+            account=record.account,
+            version=version,
+            priority=record.priority,
+            tasks=sum(step.count for step in record.order.steps),
+            took=round(read_clock() - began, 4),
+        )
+        return CallerAnswer(200, encode_state("queued"))
+
+    async def store_record(self, record: KeyedRecord) -> Refusal | None:
+        """Append one record; return why that failed or may have failed."""
+        if not check_contact(self.context):
+            return NOT_REACHED
+        result = await self.context.store.append_records(WORK_TOPIC, [record])
+        if result.is_ok():
+            return None
+        if result.error.kind is StoreFaultKind.UNCERTAIN:
+            return NOT_KNOWN
+        return NOT_REACHED
+
+    async def look_up(self, job_id: str) -> Refusal | None:
+        """Look for a job, in the store when it is not known here."""
+        if job_id in self.context.ledger.jobs:
+            return None
+        if not check_job_id(job_id):
+            detail = "a job's id is 16 hexadecimal digits"
+            return Refusal(410, "no_job", detail, "correct the path")
+        if not check_contact(self.context) or not await self.context.work.catch_up():
+            return NOT_REACHED
+        if job_id in self.context.ledger.jobs:
+            return None
+        return Refusal(410, "no_job", f"no job has the id {job_id}", "check the id")
+
+    def refuse(self, subject: str, refusal: Refusal) -> CallerAnswer:
+        """Answer that a request is not served."""
+        self.context.journal.write(
+            "request.refused",
+            subject,
+            code=refusal.code,
+            reason=refusal.kind,
+            detail=refusal.detail,
+            contact_age=round(read_clock() - self.context.work.answered_at, 3),
+        )
+        return CallerAnswer(
+            refusal.code,
+            encode_refusal(refusal.detail, refusal.remedy),
+            refusal.retry_after_seconds,
+            reached=refusal.kind not in UNREACHED_KINDS,
+        )
+
+    def answer_state(self, job_id: str) -> CallerAnswer:
+        """Answer with the state of a known job."""
+        phase = find_phase(self.context.ledger, job_id)
+        return CallerAnswer(200, encode_state(phase.value if phase else "queued"))
--- a/src/cardamomdyke/protocol/client.py
+++ b/src/cardamomdyke/protocol/client.py
@@ -27,6 +27,8 @@
     Gossip,
     JobCall,
     JobReply,
+    RelayCall,
+    RelayReply,
 )
 
 Reply = TypeVar("Reply")
@@ -79,6 +81,14 @@
         """Deliver an order to take a failure domain out."""
         return await self._call(address, "deliver_order", order, Empty)
 
+    async def relay_request(
+        self, address: str, call: RelayCall, timeout_seconds: float
+    ) -> Result[RelayReply, TransportFault]:
+        """Pass a caller's request on to a daemon that reaches the store."""
+        return await self._call(
+            address, "relay_request", call, RelayReply, timeout_seconds
+        )
+
     async def _call(
         self,
         address: str,
--- a/src/cardamomdyke/protocol/gen/ttypes.py
+++ b/src/cardamomdyke/protocol/gen/ttypes.py
@@ -1311,6 +1311,226 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class RelayCall(object):
+    """
+    Attributes:
+     - method
+     - host
+     - path
+     - key
+     - body
+
+    """
+
+    __slots__ = (
+        'method',
+        'host',
+        'path',
+        'key',
+        'body',
+    )
+
+
+    def __init__(self, method=None, host=None, path=None, key=None, body=None,):
+        self.method = method
+        self.host = host
+        self.path = path
+        self.key = key
+        self.body = body
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.method = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.path = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayCall')
+        if self.method is not None:
+            oprot.writeFieldBegin('method', TType.STRING, 1)
+            oprot.writeString(self.method.encode('utf-8') if sys.version_info[0] == 2 else self.method)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 2)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.path is not None:
+            oprot.writeFieldBegin('path', TType.STRING, 3)
+            oprot.writeString(self.path.encode('utf-8') if sys.version_info[0] == 2 else self.path)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 4)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 5)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayReply(object):
+    """
+    Attributes:
+     - code
+     - body
+     - retry_after_seconds
+     - reached
+
+    """
+
+    __slots__ = (
+        'code',
+        'body',
+        'retry_after_seconds',
+        'reached',
+    )
+
+
+    def __init__(self, code=None, body=None, retry_after_seconds=None, reached=None,):
+        self.code = code
+        self.body = body
+        self.retry_after_seconds = retry_after_seconds
+        self.reached = reached
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.code = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.retry_after_seconds = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.reached = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayReply')
+        if self.code is not None:
+            oprot.writeFieldBegin('code', TType.I32, 1)
+            oprot.writeI32(self.code)
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 2)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        if self.retry_after_seconds is not None:
+            oprot.writeFieldBegin('retry_after_seconds', TType.I32, 3)
+            oprot.writeI32(self.retry_after_seconds)
+            oprot.writeFieldEnd()
+        if self.reached is not None:
+            oprot.writeFieldBegin('reached', TType.BOOL, 4)
+            oprot.writeBool(self.reached)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(MemberState)
 MemberState.thrift_spec = (
     None,  # 0
@@ -1409,5 +1629,22 @@
 all_structs.append(Empty)
 Empty.thrift_spec = (
 )
+all_structs.append(RelayCall)
+RelayCall.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'method', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'path', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'key', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'body', 'BINARY', None, ),  # 5
+)
+all_structs.append(RelayReply)
+RelayReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'code', None, None, ),  # 1
+    (2, TType.STRING, 'body', 'BINARY', None, ),  # 2
+    (3, TType.I32, 'retry_after_seconds', None, None, ),  # 3
+    (4, TType.BOOL, 'reached', None, None, ),  # 4
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/cardamomdyke/protocol/peer.thrift
+++ b/src/cardamomdyke/protocol/peer.thrift
@@ -89,3 +89,21 @@
 struct JobReply { 1: binary status }
 
 struct Empty {}
+
+// A caller's request, passed on by a daemon on the platform that does not reach the
+// store. The peer answers from its own contact and passes nothing on.
+struct RelayCall {
+  1: string method,
+  2: string host,
+  3: string path,
+  4: string key,
+  5: binary body,
+}
+
+// reached is false when the peer has no contact with the store either.
+struct RelayReply {
+  1: i32 code,
+  2: binary body,
+  3: i32 retry_after_seconds,
+  4: bool reached,
+}
--- a/src/cardamomdyke_standins/nodes.py
+++ b/src/cardamomdyke_standins/nodes.py
@@ -19,12 +19,15 @@
     try_http,
     wait_until,
 )
+from cardamomdyke_standins.relay import Conditions, Cut, Link, Plan
 
-HOST = "127.0.0.1"
+PLATFORM_HOST = "127.0.0.1"
+PLATFORM = "platform"
 KEY = "key-of-the-desk"
 PREFIX = "/orders/"
 ROUTE_HOST = "desk.example"
 PEER_PORTS = 2
+RESERVED_PORTS = 100
 BOUNDS = {
     "hold_max_ms": 10_000,
     "stop_grace_ms": 400,
@@ -67,6 +70,8 @@
         Where settings and logs go.
     store : str
         ``host:port`` of the store.
+    relay : Plan
+        Relay through which the daemons reach the store.
     servers : dict of str to str
         ``host:port`` of each backend server, by name.
     callers : dict of str to str
@@ -77,6 +82,7 @@
 
     directory: Path
     store: str
+    relay: Plan
     servers: dict[str, str]
     callers: dict[str, str]
     readiness: dict[str, str]
@@ -87,7 +93,10 @@
         self.deployment = Deployment(self.directory, {"vms": []}, command)
 
     def start_platform(self) -> None:
-        """Start the platform's store and backend servers."""
+        """Start the platform's store, backend servers and relay."""
+        path = self.directory / "relay.json"
+        path.write_bytes(encode(self.relay))
+        self.deployment.start_standin("relay", "relay", plan=path)
         plan = self.directory / "plan.json"
         content = {"store": self.store, "servers": self.servers, "tables": TABLES}
         plan.write_bytes(encode(content))
@@ -98,10 +107,11 @@
     def start_node(self, vm: str) -> None:
         """Start the daemon of one VM."""
         number = list(self.callers).index(vm)
-        first_peer = int(self.store.rpartition(":")[2]) + 40 + number * PEER_PORTS
+        first = int(self.store.rpartition(":")[2]) + RESERVED_PORTS // 2
+        first_peer = first + number * PEER_PORTS
         settings = {
             "node_name": vm,
-            "ip_address": HOST,
+            "ip_address": self.callers[vm].rpartition(":")[0],
             "zone": "gent",
             "zones": {"gent": "vlaanderen"},
             "listen_addresses": {
@@ -111,7 +121,7 @@
             "internal_port_range": [first_peer, first_peer + PEER_PORTS - 1],
             "bounds": BOUNDS,
             "platform": {
-                "address": self.store,
+                "address": self.relay.links[0].listen,
                 "record_bytes": 262_144,
                 "request_bytes": 2_097_152,
                 "min_ttl_ms": 1000,
@@ -122,6 +132,12 @@
         command = [*self.deployment.daemon_command, "node", f"--config={path}"]
         self.deployment.start_process(vm, command)
 
+    def cut_store(self, *vms: str) -> None:
+        """Keep some VMs, and no others, from reaching the store."""
+        cuts = tuple(Cut(vm, PLATFORM) for vm in vms)
+        url = f"http://{self.relay.control}/conditions"
+        send_http("PUT", url, encode(Conditions(cuts)))
+
     def check_ready(self, vm: str) -> bool:
         """Tell whether a VM reports that it takes requests."""
         return try_http("GET", f"http://{self.readiness[vm]}/readiness") is not None
@@ -192,15 +208,20 @@
     Nodes
         All daemons ready.
     """
-    first = reserve_ports(1 + servers + 2 * vms + 40 + PEER_PORTS * vms)
-    server_ports = range(first + 1, first + 1 + servers)
-    vm_ports = range(first + 1 + servers, first + 1 + servers + vms)
+    first = reserve_ports(RESERVED_PORTS)
+    ports = iter(range(first, first + RESERVED_PORTS))
+    names = [f"vm{number}" for number in range(vms)]
+    hosts = {name: f"127.0.1.{number + 1}" for number, name in enumerate(names)}
+    store = f"{PLATFORM_HOST}:{next(ports)}"
+    link = Link(f"{PLATFORM_HOST}:{next(ports)}", store, PLATFORM)
+    sources = {host: name for name, host in hosts.items()}
     nodes = Nodes(
         directory,
-        f"{HOST}:{first}",
-        {f"s{i}": f"{HOST}:{port}" for i, port in enumerate(server_ports)},
-        {f"vm{i}": f"{HOST}:{port}" for i, port in enumerate(vm_ports)},
-        {f"vm{i}": f"{HOST}:{port + vms}" for i, port in enumerate(vm_ports)},
+        store,
+        Plan(f"{PLATFORM_HOST}:{next(ports)}", (link,), sources),
+        {f"s{i}": f"{PLATFORM_HOST}:{next(ports)}" for i in range(servers)},
+        {name: f"{hosts[name]}:{next(ports)}" for name in names},
+        {name: f"{hosts[name]}:{next(ports)}" for name in names},
     )
     try:
         nodes.start_platform()
--- a/tests/processes/test_node.py
+++ b/tests/processes/test_node.py
@@ -150,6 +150,40 @@
     wait_until(lambda: nodes.read_state("vm0", JOB) == "completed")
 
 
+def test_daemon_without_store_serves_through_a_peer(nodes: Nodes) -> None:
+    """Guards against refusals while another daemon reaches the store.
+
+    On the standard days daemons that the store turned away refused jobs, and
+    showed ended jobs as running.
+    """
+    planner = nodes.find_planner()
+    (cut, other, *_) = [vm for vm in nodes.callers if vm != planner]
+    nodes.cut_store(cut)
+    wait_until(lambda: not nodes.check_ready(cut))
+    assert nodes.call(cut, "POST", PREFIX + JOB, make_body())[0] == 200
+    wait_until(lambda: nodes.read_state(cut, JOB) == "completed")
+    assert nodes.read_state(other, JOB) == "completed"
+    assert nodes.call(cut, "GET", PREFIX + OTHER)[0] == 410
+    nodes.cut_store()
+    wait_until(lambda: nodes.check_ready(cut))
+
+
+def test_planner_without_store_is_replaced(nodes: Nodes) -> None:
+    """Guards against two planners, and against none, when one loses the store."""
+    planner = nodes.find_planner()
+    body = make_body(8.0)
+    assert nodes.call(planner, "POST", PREFIX + JOB, body)[0] == 200
+    wait_until(lambda: nodes.read_state(planner, JOB) == "running")
+    nodes.cut_store(planner)
+    wait_until(lambda: nodes.find_planner() != planner)
+    other = nodes.find_planner()
+    assert nodes.call(other, "POST", PREFIX + OTHER, make_body())[0] == 200
+    wait_until(lambda: nodes.read_state(other, OTHER) == "completed")
+    wait_until(lambda: nodes.read_state(other, JOB) == "completed")
+    kinds = {line["message_type"] for line in nodes.read_log(planner)}
+    assert "planner.term_ended" in kinds
+
+
 def test_terminated_daemon_hands_over(nodes: Nodes) -> None:
     """Guards against a shutdown after which nobody plans for long."""
     planner = nodes.find_planner()
