Try changes for 0.7 s while the store is away, and refuse only what no peer can store

Cause: in an outage in which the store stays silent, an append hung for 0.8 s and a peer's attempt for 0.6 s, after which callers were answered 504 or 503 and came back by their own backoff only.

Change: any answer of the store is contact, and without one for 0.7 s nothing is appended. A change is tried for 0.7 s, and through a peer after 0.15 s. An attempt whose outcome is not known, here or at a peer, outweighs refusals; a peer's refusal waits for the other peers that were asked.

--- a/src/cardamomdyke/control/app.py
+++ b/src/cardamomdyke/control/app.py
@@ -29,7 +29,12 @@
     encode_peer,
 )
 from cardamomdyke.platform.settings import NodeSettings
-from cardamomdyke.platform.store import OPERATOR_TOPIC, KeyedRecord, StoreClient
+from cardamomdyke.platform.store import (
+    OPERATOR_TOPIC,
+    KeyedRecord,
+    StoreClient,
+    StoreContact,
+)
 from cardamomdyke.protocol.client import PeerClient
 from cardamomdyke.protocol.gen.ttypes import RelayCall
 from cardamomdyke.protocol.progress import Progress
@@ -55,7 +60,7 @@
     journal = make_journal(settings.vm)
     # Outgoing connections come from the VM's own address.
     http = make_http_client(settings.host)
-    store = StoreClient(http, settings.store.address)
+    store = StoreClient(http, settings.store.address, StoreContact(read_clock))
     ledger = Ledger()
     operator = OperatorState(journal)
     work = TopicFeed(
--- a/src/cardamomdyke/control/desk.py
+++ b/src/cardamomdyke/control/desk.py
@@ -31,9 +31,11 @@
 
 # A caller that was refused because of a fault may come back after this long.
 RETRY_AFTER_SECONDS = 1
-# The feed's long poll is answered within 1 s when nothing happens. Without an
-# answer for this long, what is known here may be out of date.
-CONTACT_SECONDS = 1.3
+# The store is asked each 0.2 s whether this daemon may plan. Without an answer to
+# anything for this long, nothing more is sent that could not be taken back.
+CONTACT_SECONDS = 0.7
+# An append is usually answered within 20 ms, within 0.4 s by a slow store.
+APPEND_TIMEOUT_SECONDS = 0.5
 # A question about a running job waits this long for its end. Callers tend to ask
 # when they expect it; an end takes about 40 ms to reach every daemon.
 STATE_WAIT_SECONDS = 0.1
@@ -189,6 +191,16 @@
 UNREACHED_KINDS = frozenset({NOT_REACHED.kind, NOT_KNOWN.kind, NO_TABLES.kind})
 
 
+def make_answer(refusal: Refusal) -> CallerAnswer:
+    """Return the answer that gives a refusal to the caller."""
+    return CallerAnswer(
+        refusal.code,
+        encode_refusal(refusal.detail, refusal.remedy),
+        refusal.retry_after_seconds,
+        reached=refusal.kind not in UNREACHED_KINDS,
+    )
+
+
 def find_target(
     tables: QueueTables | None, request: CallerRequest
 ) -> Result[Target, Refusal]:
@@ -283,7 +295,7 @@
 
 def check_contact(context: Context, seconds: float = CONTACT_SECONDS) -> bool:
     """Tell whether the store answered a short time ago."""
-    return read_clock() - context.work.answered_at <= seconds
+    return read_clock() - context.store.contact.answered_at <= seconds
 
 
 @dataclass
@@ -396,7 +408,9 @@
         """Append one record; return why that failed or may have failed."""
         if not check_contact(self.context):
             return NOT_REACHED
-        result = await self.context.store.append_records(WORK_TOPIC, [record])
+        result = await self.context.store.append_records(
+            WORK_TOPIC, [record], timeout_seconds=APPEND_TIMEOUT_SECONDS
+        )
         if result.is_ok():
             return None
         if result.error.kind is StoreFaultKind.UNCERTAIN:
@@ -424,14 +438,9 @@
             code=refusal.code,
             reason=refusal.kind,
             detail=refusal.detail,
-            contact_age=round(read_clock() - self.context.work.answered_at, 3),
-        )
-        return CallerAnswer(
-            refusal.code,
-            encode_refusal(refusal.detail, refusal.remedy),
-            refusal.retry_after_seconds,
-            reached=refusal.kind not in UNREACHED_KINDS,
+            contact_age=round(read_clock() - self.context.store.contact.answered_at, 3),
         )
+        return make_answer(refusal)
 
     def answer_state(self, job_id: str) -> CallerAnswer:
         """Answer with the state of a known job."""
--- a/src/cardamomdyke/control/feeds.py
+++ b/src/cardamomdyke/control/feeds.py
@@ -44,8 +44,6 @@
         Time between two reads, so that records come in fewer reads.
     next_offset : int or None
         Offset of the next record; None before the first read.
-    answered_at : float
-        When the store last answered; 0 for never.
     at_end : bool
         True when the last page reached the end of the topic.
     failing_since : float
@@ -61,7 +59,6 @@
     wait_seconds: float
     pause_seconds: float = 0.0
     next_offset: int | None = None
-    answered_at: float = 0.0
     failing_since: float = 0.0
     at_end: bool = False
     syncing: asyncio.Lock = field(default_factory=asyncio.Lock)
@@ -148,7 +145,6 @@
 
     def note_success(self) -> None:
         """Remember that a read succeeded."""
-        self.answered_at = read_clock()
         if self.failing_since:
             silent = round(read_clock() - self.failing_since, 3)
             self.journal.write("feed.regained", self.topic, silent=silent)
--- a/src/cardamomdyke/control/ingress.py
+++ b/src/cardamomdyke/control/ingress.py
@@ -9,8 +9,9 @@
 from cardamomdyke.protocol.progress import CountedHandler, Progress
 
 # A daemon without an answer of the store for this long asks for no new
-# connections. Requests on open ones go through peers by then.
-READY_CONTACT_SECONDS = 1.8
+# connections. Requests on open ones go through peers by then. A daemon that
+# shuts down asks the store each 1 s only.
+READY_CONTACT_SECONDS = 1.3
 
 
 class CallerHandler(CountedHandler):
--- a/src/cardamomdyke/control/relay.py
+++ b/src/cardamomdyke/control/relay.py
@@ -6,14 +6,16 @@
 
 from expression import Result
 
-from cardamomdyke.adapters.http import TransportFault
+from cardamomdyke.adapters.http import TransportFault, TransportFaultKind
 from cardamomdyke.control.clock import read_clock
 from cardamomdyke.control.context import Context
 from cardamomdyke.control.desk import (
+    NOT_KNOWN,
     CallerAnswer,
     CallerRequest,
     Desk,
     check_contact,
+    make_answer,
 )
 from cardamomdyke.protocol.client import PeerClient
 from cardamomdyke.protocol.gen.ttypes import RelayCall, RelayReply
@@ -22,9 +24,15 @@
 # no more than these.
 HEDGE_SECONDS = 0.15
 PEERS_AT_ONCE = 3
-RELAY_TIMEOUT_SECONDS = 0.6
+RELAY_TIMEOUT_SECONDS = 0.5
+# A change that the store does not take is tried again for this long, well under
+# the 3 s that callers wait and the second that urgent jobs can spare.
+PATIENCE_SECONDS = 0.7
+RETRY_SECONDS = 0.15
 # A peer that did not answer, or reached the store no better, is left out so long.
 AVOID_SECONDS = 2.0
+# Least HTTP status that says that a request was not served.
+BAD_REQUEST = 400
 
 
 @dataclass
@@ -59,11 +67,21 @@
         peers.sort(key=lambda peer: (peer.failure_domain != domain, peer.vm))
         return [peer.address for peer in peers[:PEERS_AT_ONCE]]
 
-    async def forward(self, request: CallerRequest) -> CallerAnswer | None:
-        """Let a peer serve a request; None when no peer reaches the store.
+    async def forward(self, request: CallerRequest) -> list[CallerAnswer]:
+        """Let peers serve a request.
 
         Asking several peers is harmless: a job keeps its id, and the first record
         of an id counts.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            The request.
+
+        Returns
+        -------
+        list of CallerAnswer
+            Answers of the peers that may have served it; empty when none did.
         """
         call = RelayCall(
             method=request.method,
@@ -74,8 +92,8 @@
         )
         pending: set[asyncio.Task[CallerAnswer | None]] = set()
         peers = self.list_peers()
-        answer: CallerAnswer | None = None
-        while answer is None and (peers or pending):
+        answers: list[CallerAnswer] = []
+        while (peers or pending) and not is_settled(request, answers):
             if peers:
                 address = peers.pop(0)
                 pending.add(asyncio.ensure_future(self.ask(address, call)))
@@ -83,22 +101,67 @@
             done, pending = await asyncio.wait(
                 pending, timeout=wait, return_when=asyncio.FIRST_COMPLETED
             )
-            answer = next((t.result() for t in done if t.result()), None)
-        self.context.journal.count("relay.failed" if answer is None else "relay.served")
-        return answer
+            answers += [answer for task in done if (answer := task.result())]
+        served = any(answer.reached for answer in answers)
+        self.context.journal.count("relay.served" if served else "relay.failed")
+        return answers
 
     async def ask(self, address: str, call: RelayCall) -> CallerAnswer | None:
-        """Ask one peer; None when it cannot serve the request."""
+        """Ask one peer; None when it certainly did not serve the request."""
         result: Result[RelayReply, TransportFault] = await self.client.relay_request(
             address, call, RELAY_TIMEOUT_SECONDS
         )
-        if result.is_error() or not result.ok.reached:
+        if result.is_error():
             self.avoided[address] = self.clock() + AVOID_SECONDS
-            return None
+            if result.error.kind is TransportFaultKind.NOT_SENT:
+                return None
+            # The peer may be about to append what it has read.
+            return make_answer(NOT_KNOWN)
         reply = result.ok
+        if not reply.reached:
+            self.avoided[address] = self.clock() + AVOID_SECONDS
+            return make_answer(NOT_KNOWN) if reply.code == NOT_KNOWN.code else None
         return CallerAnswer(reply.code, reply.body, reply.retry_after_seconds)
 
 
+def is_settled(request: CallerRequest, answers: list[CallerAnswer]) -> bool:
+    """Tell whether no later answer to the same request could matter.
+
+    A change that one VM refused may still be carried out by another that was
+    asked, so only a success settles it.
+    """
+    if request.method == "GET":
+        return any(answer.reached for answer in answers)
+    return any(answer.code < BAD_REQUEST for answer in answers)
+
+
+def choose_answer(request: CallerRequest, answers: list[CallerAnswer]) -> CallerAnswer:
+    """Choose the truest of several answers to one request.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        The request.
+    answers : list of CallerAnswer
+        At least one answer, of this VM or of peers.
+
+    Returns
+    -------
+    CallerAnswer
+        A success if there is one. Otherwise an answer that the outcome of a change
+        is not known outweighs every refusal, since a refusal says that it never
+        runs.
+    """
+    if request.method != "GET":
+        for answer in answers:
+            if answer.code < BAD_REQUEST:
+                return answer
+        for answer in answers:
+            if answer.code == NOT_KNOWN.code:
+                return answer
+    return max(answers, key=lambda answer: answer.reached)
+
+
 @dataclass
 class Reception:
     """Serves callers here, or through a peer that reaches the store.
@@ -118,16 +181,35 @@
     relay: Relay
 
     async def serve(self, request: CallerRequest) -> CallerAnswer:
-        """Answer one request of a caller."""
+        """Answer one request of a caller.
+
+        A change is tried for a short time, here and through peers, as long as the
+        store does not answer. After that the caller gets its answer at once.
+        """
+        began = read_clock()
+        answers: list[CallerAnswer] = []
+        while True:
+            answers += await self.try_once(request)
+            answer = choose_answer(request, answers)
+            spent = read_clock() - began
+            late = request.method == "GET" or spent + RETRY_SECONDS > PATIENCE_SECONDS
+            if answer.reached or late:
+                return answer
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def try_once(self, request: CallerRequest) -> list[CallerAnswer]:
+        """Serve a request here, and through peers when the store is slow or away."""
         if not check_contact(self.context):
             relayed = await self.relay.forward(request)
-            if relayed is not None:
-                return relayed
-            return await self.desk.serve(request)
-        answer = await self.desk.serve(request)
-        if answer.reached:
-            return answer
-        return await self.relay.forward(request) or answer
+            return relayed or [await self.desk.serve(request)]
+        serving = asyncio.ensure_future(self.desk.serve(request))
+        done, _ = await asyncio.wait({serving}, timeout=HEDGE_SECONDS)
+        if done and serving.result().reached:
+            return [serving.result()]
+        relayed = await self.relay.forward(request)
+        if is_settled(request, relayed):
+            return relayed
+        return [await serving, *relayed]
 
     async def answer_peer(self, call: RelayCall) -> RelayReply:
         """Serve a request that a peer passes on."""
--- a/src/cardamomdyke/platform/store.py
+++ b/src/cardamomdyke/platform/store.py
@@ -1,7 +1,7 @@
 """Client of the platform's store: a log with partitions, keys and groups."""
 
 from base64 import b64decode
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from struct import Struct as Layout
@@ -176,6 +176,22 @@
 _JOINED_DECODER = Decoder(_Joined)
 
 
+@dataclass
+class StoreContact:
+    """When the store last served this daemon.
+
+    Attributes
+    ----------
+    clock : callable
+        Returns seconds.
+    answered_at : float
+        Time of the last answer that was no refusal to serve; 0 for none.
+    """
+
+    clock: Callable[[], float]
+    answered_at: float = 0.0
+
+
 @dataclass(frozen=True)
 class StoreClient:
     """Client of the store.
@@ -186,16 +202,20 @@
         The loop's HTTP client.
     address : str
         ``host:port`` of the store.
+    contact : StoreContact
+        When the store last answered.
     """
 
     http: CurlAsyncHTTPClient
     address: str
+    contact: StoreContact
 
     async def append_records(
         self,
         topic: str,
         records: Sequence[KeyedRecord],
         producer: Producer | None = None,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
     ) -> Result[None, StoreFault]:
         """Append records to partition 0 of a topic, all or nothing.
 
@@ -207,6 +227,8 @@
             None to announce the producer's epoch only.
         producer : Producer or None
             Who appends, when earlier epochs are to be refused.
+        timeout_seconds : float
+            Limit for the call.
 
         Returns
         -------
@@ -219,7 +241,7 @@
             query["epoch"] = producer.epoch
             query["sequence"] = producer.sequence
         body = b"".join(_frame_record(record) for record in records)
-        result = await self._call("POST", "/log-append", query, body)
+        result = await self._call("POST", "/log-append", query, body, timeout_seconds)
         return result.map(lambda response: None)
 
     async def read_records(
@@ -364,6 +386,8 @@
             kind = StoreFaultKind.NOT_DONE if not_sent else StoreFaultKind.UNCERTAIN
             return Error(StoreFault(kind, fault.detail))
         response = result.ok
+        if response.code < 500 and response.code != 429:
+            self.contact.answered_at = self.contact.clock()
         if response.code == 200:
             return Ok(response)
         return Error(_sort_refusal(response.code, response.body or b""))
--- a/tests/control/parts.py
+++ b/tests/control/parts.py
@@ -18,7 +18,12 @@
     QueueRoute,
     make_queue_tables,
 )
-from cardamomdyke.platform.store import KeyedRecord, Producer, StoreFault
+from cardamomdyke.platform.store import (
+    KeyedRecord,
+    Producer,
+    StoreContact,
+    StoreFault,
+)
 
 KEY = "key"
 HOST = "desk.example"
@@ -30,6 +35,9 @@
 class PlayedStore:
     """Keeps appended records, or fails as it is told."""
 
+    contact: StoreContact = field(
+        default_factory=lambda: StoreContact(read_clock, read_clock())
+    )
     records: list[KeyedRecord] = field(default_factory=list)
     faults: list[StoreFault] = field(default_factory=list)
 
@@ -38,6 +46,7 @@
         topic: str,
         records: Sequence[KeyedRecord],
         producer: Producer | None = None,
+        timeout_seconds: float = 1.0,
     ) -> Result[None, StoreFault]:
         if self.faults:
             return Error(self.faults.pop(0))
@@ -51,7 +60,6 @@
 
     context: Context | None = None
     applied: int = 0
-    answered_at: float = field(default_factory=read_clock)
     next_offset: int | None = 0
 
     async def catch_up(self) -> bool:
--- a/tests/control/test_desk.py
+++ b/tests/control/test_desk.py
@@ -59,7 +59,8 @@
 
     async def scenario() -> None:
         desk = make_desk()
-        desk.context.work.answered_at = read_clock() - CONTACT_SECONDS - 0.1
+        contact = desk.context.store.contact
+        contact.answered_at = read_clock() - CONTACT_SECONDS - 0.1
         answer = await desk.serve(make_request("POST", JOB, BODY))
         assert answer.code == 503
         assert not desk.context.store.records  # type: ignore[attr-defined]
