Drop ended jobs from the store, and answer scrapers

Histograms and counters could be read by nobody while a daemon on the platform runs.

Change: the planner appends removals of a job's keys, the job's own first, 60 s after status_s, counted on the steady clock of the VM that plans. A job that still holds room stays. A test shows that an unread standard output stops nothing.

--- a/src/cardamomdyke/cli/commands.py
+++ b/src/cardamomdyke/cli/commands.py
@@ -12,6 +12,7 @@
 EXIT_FAILED = 1
 EXIT_BAD_COMMAND = 2
 EXIT_INTERRUPTED = 130
+LARGEST_PORT = 65_535
 
 
 @SetParseFn(str)  # type: ignore[untyped-decorator]
@@ -49,7 +50,8 @@
     """Run the daemon of this VM on the users' platform.
 
     The platform's settings file is named by --config or by the environment
-    variable CARDAMOMDYKE_CONFIG.
+    variable CARDAMOMDYKE_CONFIG. With --metrics-port=PORT the daemon also answers
+    scrapers at http://HOST:PORT/metrics.
     """
     import asyncio
     import os
@@ -59,18 +61,25 @@
     from cardamomdyke.platform.settings import SETTINGS_VARIABLE
 
     path = flags.pop("config", os.environ.get(SETTINGS_VARIABLE, ""))
+    port = str(flags.pop("metrics_port", "0"))
     if "help" in flags:
         print(run_node_command.__doc__)
         return
     if extra or flags or not path:
-        message = "node takes --config=PATH, or CARDAMOMDYKE_CONFIG, and nothing else"
+        message = (
+            "node takes --config=PATH or CARDAMOMDYKE_CONFIG, --metrics-port=PORT, "
+            "and nothing else"
+        )
+        fail_command(ProblemKind.BAD_COMMAND, message)
+    if not port.isdecimal() or int(port) > LARGEST_PORT:
+        message = f"--metrics-port={port} is not a port; use 1 to {LARGEST_PORT}"
         fail_command(ProblemKind.BAD_COMMAND, message)
     result = load_settings(path)
     if result.is_error():
         problem = result.error
         print(f"{problem.kind}: {problem.message}; {problem.remedy}", file=sys.stderr)
         sys.exit(EXIT_BAD_COMMAND)
-    asyncio.run(run_node(result.ok, path))
+    asyncio.run(run_node(result.ok, path, int(port)))
 
 
 def fail_command(kind: ProblemKind, message: str) -> NoReturn:
--- a/src/cardamomdyke/control/app.py
+++ b/src/cardamomdyke/control/app.py
@@ -18,10 +18,17 @@
 )
 from cardamomdyke.control.journal import make_journal
 from cardamomdyke.control.leadership import Leadership
+from cardamomdyke.control.metrics import (
+    Reading,
+    ReadingCollector,
+    make_metrics,
+    make_metrics_application,
+)
 from cardamomdyke.control.relay import Reception, Relay
 from cardamomdyke.control.reload import Reloader
-from cardamomdyke.jobs.ledger import Ledger, apply_record
+from cardamomdyke.jobs.ledger import Ledger, apply_record, is_waiting
 from cardamomdyke.jobs.records import WORK_TOPIC
+from cardamomdyke.jobs.retention import make_retention
 from cardamomdyke.membership.peers import (
     PEER_PREFIX,
     Peer,
@@ -60,7 +67,9 @@
     journal = make_journal(settings.vm)
     # Outgoing connections come from the VM's own address.
     http = make_http_client(settings.host)
-    store = StoreClient(http, settings.store.address, StoreContact(read_clock))
+    metrics = make_metrics(journal)
+    contact = StoreContact(read_clock, metrics.note_store_call)
+    store = StoreClient(http, settings.store.address, contact)
     ledger = Ledger()
     operator = OperatorState(journal)
     work = TopicFeed(
@@ -72,7 +81,10 @@
         notify=lambda: None,
         wait_seconds=POLL_SECONDS,
     )
-    return Context(settings, http, store, journal, ledger, operator, work)
+    retention = make_retention(settings.bounds.status_seconds)
+    return Context(
+        settings, http, store, journal, ledger, operator, work, retention, metrics
+    )
 
 
 def connect_ledger(context: Context, planning: Planning) -> None:
@@ -91,6 +103,7 @@
         context.ledger.jobs.clear()
         context.ledger.cancelled.clear()
         context.ledger.progress.clear()
+        context.retention.ended.clear()
 
     context.work.apply = apply
     context.work.reset = reset
@@ -152,7 +165,35 @@
     )
 
 
-async def run_node(settings: NodeSettings, path: str) -> None:
+def start_metrics(
+    context: Context, leadership: Leadership, port: int
+) -> list[HTTPServer]:
+    """Listen for scrapers; without the port the daemon serves callers all the same."""
+
+    def read_state() -> Reading:
+        tables = context.operator.tables
+        waiting = sum(is_waiting(context.ledger, name) for name in context.ledger.jobs)
+        return Reading(
+            leadership.term,
+            read_clock() - context.store.contact.answered_at,
+            waiting,
+            len(context.ledger.jobs),
+            0 if tables is None else tables.version,
+        )
+
+    if not port:
+        return []
+    context.metrics.registry.register(ReadingCollector(read_state))
+    address = f"{context.settings.host}:{port}"
+    application = make_metrics_application(context.metrics)
+    try:
+        return [start_server(application, address)]
+    except OSError as error:
+        context.journal.write("metrics.unavailable", address, detail=str(error))
+        return []
+
+
+async def run_node(settings: NodeSettings, path: str, metrics_port: int = 0) -> None:
     """Serve until a termination signal, then drain and return.
 
     Parameters
@@ -161,6 +202,8 @@
         Settings of the daemon.
     path : str
         File that they were read from; it is read again when it changes.
+    metrics_port : int
+        Port for scrapers; 0 for none.
     """
     context = make_context(settings)
     journal = context.journal
@@ -178,6 +221,7 @@
         loop.add_signal_handler(number, stop.set)
     progress = Progress()
     servers = start_servers(context, peer, make_reception(context), progress)
+    servers += start_metrics(context, leadership, metrics_port)
     joining = loop.create_task(leadership.join_forever())
     tasks = [
         loop.create_task(coroutine)
--- a/src/cardamomdyke/control/context.py
+++ b/src/cardamomdyke/control/context.py
@@ -7,7 +7,9 @@
 
 from cardamomdyke.control.feeds import TopicFeed
 from cardamomdyke.control.journal import Journal
+from cardamomdyke.control.metrics import Metrics
 from cardamomdyke.jobs.ledger import Ledger
+from cardamomdyke.jobs.retention import Retention
 from cardamomdyke.membership.peers import Peer
 from cardamomdyke.model.queues import QueueTables
 from cardamomdyke.model.servers import ServerEntry
@@ -149,6 +151,10 @@
         Configuration and evacuations.
     work : TopicFeed
         Keeps the ledger current.
+    retention : Retention
+        Jobs that ended, and since when this VM knows.
+    metrics : Metrics
+        Histograms, and what else a scraper reads.
     peers : dict of str to Peer
         Daemons that have announced themselves, by VM.
     changed : asyncio.Event
@@ -164,6 +170,8 @@
     ledger: Ledger
     operator: OperatorState
     work: TopicFeed
+    retention: Retention
+    metrics: Metrics
     peers: dict[str, Peer] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     stopping: bool = False
--- a/src/cardamomdyke/control/driver.py
+++ b/src/cardamomdyke/control/driver.py
@@ -15,6 +15,7 @@
 from cardamomdyke.control.recorder import Recorder
 from cardamomdyke.jobs.ledger import Change, ChangeKind
 from cardamomdyke.jobs.records import PROGRESS_PREFIX, encode_progress
+from cardamomdyke.jobs.retention import list_keys
 from cardamomdyke.model.orders import TaskId
 from cardamomdyke.model.servers import CallFault
 from cardamomdyke.planner.actions import Action, Note, SendStart, SendStop
@@ -29,7 +30,7 @@
     note_stop,
     update_servers,
 )
-from cardamomdyke.planner.planning import plan_starts
+from cardamomdyke.planner.planning import PLACED, plan_starts
 from cardamomdyke.planner.progress import (
     Batch,
     add_job,
@@ -136,6 +137,9 @@
             add_job(self.state, record, read_clock())
         elif change.kind is ChangeKind.CANCELLED:
             cancel_job(self.state, change.job_id, read_clock())
+        elif change.kind is ChangeKind.REMOVED:
+            self.state.known_jobs.discard(change.job_id)
+            return
         else:
             return
         self.dirty.set()
@@ -154,6 +158,10 @@
     @perform.register
     def _(self, action: Note) -> None:
         self.context.journal.write(action.kind, action.subject, **action.facts)
+        if action.kind == PLACED:
+            record = self.state.jobs[action.subject].record
+            waited = float(str(action.facts["waited"]))
+            self.context.metrics.note_start(record.priority, waited)
 
     @perform.register
     def _(self, action: SendStart) -> None:
@@ -296,17 +304,33 @@
         if self.recording:
             return
         batch = take_batch(self.state)
-        if batch is None:
+        removals = self.list_removals()
+        if batch is None and not removals:
             return
         self.recording = True
-        self.spawn(self.record_batch(batch))
+        self.spawn(self.record_batch(batch or Batch({}, (), {}), removals))
+
+    def list_removals(self) -> list[KeyedRecord]:
+        """Return records that drop jobs that ended long ago."""
+        ledger = self.context.ledger
+        due = self.context.retention.take_due(read_clock())
+        # A job that still holds room on a server that cannot be reached waits.
+        over = [job_id for job_id in due if job_id not in self.state.jobs]
+        if over:
+            self.context.journal.write("jobs.dropped", over[0], count=len(over))
+        return [
+            KeyedRecord(key, b"")
+            for job_id in over
+            for key in list_keys(ledger, job_id)
+        ]
 
-    async def record_batch(self, batch: Batch) -> None:
+    async def record_batch(self, batch: Batch, removals: list[KeyedRecord]) -> None:
         """Append one batch and do what follows from it."""
         records = [
             KeyedRecord(PROGRESS_PREFIX + job_id, encode_progress(progress))
             for job_id, progress in batch.progress.items()
         ]
+        records += removals
         stored = await self.recorder.record(records) if records else True
         self.recording = False
         if not stored:
@@ -353,7 +377,6 @@
             bounds.lease_limit_seconds,
             bounds.gang_wait_seconds,
             bounds.stop_grace_seconds,
-            bounds.status_seconds,
         ),
         fence=fence,
         took_over_at=now,
@@ -410,5 +433,6 @@
 
     def note_change(self, change: Change) -> None:
         """Pass a change of the ledger on to the current term."""
+        self.context.retention.note_change(self.context.ledger, change, read_clock())
         if self.term is not None:
             self.term.note_change(change)
--- a/src/cardamomdyke/control/ingress.py
+++ b/src/cardamomdyke/control/ingress.py
@@ -2,6 +2,7 @@
 
 from tornado.web import Application, RequestHandler
 
+from cardamomdyke.control.clock import read_clock
 from cardamomdyke.control.context import Context
 from cardamomdyke.control.desk import CallerRequest, check_contact
 from cardamomdyke.control.relay import Reception
@@ -38,7 +39,10 @@
             self.request.headers.get(KEY_HEADER, ""),
             self.request.body,
         )
+        began = read_clock()
         answer = await self.reception.serve(request)
+        metrics = self.reception.context.metrics
+        metrics.note_request(request.method, answer.code, read_clock() - began)
         self.set_status(answer.code)
         self.set_header("Content-Type", "application/json")
         if answer.retry_after_seconds:
--- a/src/cardamomdyke/control/journal.py
+++ b/src/cardamomdyke/control/journal.py
@@ -33,6 +33,10 @@
         Name of this VM.
     counts : Counter of str to int
         Counters by name.
+    dropped : int
+        Lines left out since the last one that was written.
+    left_out : int
+        Lines left out since the start.
     """
 
     vm: str
@@ -41,6 +45,7 @@
     tokens: float = LINE_BURST
     filled_at: float = 0.0
     dropped: int = 0
+    left_out: int = 0
     waiting: bool = False
 
     def count(self, name: str, amount: int = 1) -> None:
@@ -62,6 +67,7 @@
         self.counts[kind] += 1
         if not self.take_token():
             self.dropped += 1
+            self.left_out += 1
             return
         if self.dropped:
             facts["dropped_before"] = self.dropped
--- /dev/null
+++ b/src/cardamomdyke/control/metrics.py
@@ -0,0 +1,187 @@
+"""Counters, latency histograms and gauges of a daemon, as text for a scraper."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from prometheus_client import CollectorRegistry, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.metrics_core import Metric
+from prometheus_client.registry import Collector
+from tornado.web import Application, RequestHandler
+
+from cardamomdyke.control.journal import Journal
+
+METRICS_PATH = "/metrics"
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+# From one answer of the store (4 ms) to the longest wait of a caller (3 s) and of
+# a long poll.
+CALL_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0)
+# From a free server to a job that waits for a whole rack.
+WAIT_BUCKETS = (0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0)
+
+
+@dataclass(frozen=True)
+class Reading:
+    """State of a daemon at the time of a scrape.
+
+    Attributes
+    ----------
+    term : int
+        Fencing token of its term as planner; 0 while another daemon plans.
+    store_silent_seconds : float
+        Time since the store's last answer.
+    jobs_waiting : int
+        Accepted jobs of which no task has begun.
+    jobs_known : int
+        Jobs that the store keeps.
+    tables_version : int
+        Version of the configuration in force; 0 for none.
+    """
+
+    term: int
+    store_silent_seconds: float
+    jobs_waiting: int
+    jobs_known: int
+    tables_version: int
+
+
+@dataclass
+class Metrics:
+    """Metrics of one daemon.
+
+    Attributes
+    ----------
+    registry : CollectorRegistry
+        Everything that is exposed.
+    request_seconds : Histogram
+        Time from a caller's whole request to its answer, by method and status.
+    store_seconds : Histogram
+        Time of a call to the store, by path.
+    wait_seconds : Histogram
+        Time from a job's arrival to the start of a unit, by priority.
+    """
+
+    registry: CollectorRegistry
+    request_seconds: Histogram
+    store_seconds: Histogram
+    wait_seconds: Histogram
+
+    def note_store_call(self, path: str, seconds: float) -> None:
+        """Count one call to the store."""
+        self.store_seconds.labels(path).observe(seconds)
+
+    def note_request(self, method: str, code: int, seconds: float) -> None:
+        """Count one answered request of a caller."""
+        self.request_seconds.labels(method, str(code)).observe(seconds)
+
+    def note_start(self, priority: int, seconds: float) -> None:
+        """Count one unit that was placed."""
+        self.wait_seconds.labels(str(priority)).observe(seconds)
+
+
+# The registry keeps collectors by identity.
+@dataclass(eq=False)
+class JournalCollector(Collector):
+    """Exposes the journal's counters.
+
+    Attributes
+    ----------
+    journal : Journal
+        Log and counters of the daemon.
+    """
+
+    journal: Journal
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield the counters, and how many lines were left out."""
+        events = CounterMetricFamily(
+            "cardamomdyke_events", "Events by kind, as in the log.", labels=["event"]
+        )
+        for name, amount in sorted(self.journal.counts.items()):
+            events.add_metric([name], amount)
+        yield events
+        yield CounterMetricFamily(
+            "cardamomdyke_log_lines_left_out",
+            "Log lines above the limit, or not read in time.",
+            value=self.journal.left_out,
+        )
+
+
+@dataclass(eq=False)
+class ReadingCollector(Collector):
+    """Exposes the state of the daemon.
+
+    Attributes
+    ----------
+    read : callable
+        Returns the state.
+    """
+
+    read: Callable[[], Reading]
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield one gauge for each figure."""
+        reading = self.read()
+        for name, text, value in (
+            ("term", "Term as planner; 0 while another plans.", reading.term),
+            (
+                "store_silent_seconds",
+                "Time since the store's last answer.",
+                reading.store_silent_seconds,
+            ),
+            ("jobs_waiting", "Jobs without a task begun.", reading.jobs_waiting),
+            ("jobs_known", "Jobs in the store.", reading.jobs_known),
+            ("tables_version", "Configuration in force.", reading.tables_version),
+        ):
+            yield GaugeMetricFamily(f"cardamomdyke_{name}", text, value=value)
+
+
+def make_metrics(journal: Journal) -> Metrics:
+    """Build the metrics of a daemon with a registry of their own."""
+    registry = CollectorRegistry()
+    registry.register(JournalCollector(journal))
+    return Metrics(
+        registry,
+        Histogram(
+            "cardamomdyke_request_seconds",
+            "Time to the answer of a caller's request.",
+            ("method", "code"),
+            buckets=CALL_BUCKETS,
+            registry=registry,
+        ),
+        Histogram(
+            "cardamomdyke_store_call_seconds",
+            "Time of a call to the store; reads include their long poll.",
+            ("call",),
+            buckets=CALL_BUCKETS,
+            registry=registry,
+        ),
+        Histogram(
+            "cardamomdyke_start_wait_seconds",
+            "Time from a job's arrival to the placing of a unit.",
+            ("priority",),
+            buckets=WAIT_BUCKETS,
+            registry=registry,
+        ),
+    )
+
+
+class MetricsHandler(RequestHandler):
+    """Answers a scraper."""
+
+    def initialize(self, metrics: Metrics) -> None:
+        """Remember what is exposed."""
+        self.metrics = metrics
+
+    def get(self) -> None:
+        """Answer with all metrics as text."""
+        self.set_header("Content-Type", CONTENT_TYPE)
+        self.finish(generate_latest(self.metrics.registry))
+
+
+def make_metrics_application(metrics: Metrics) -> Application:
+    """Build the web application for scrapers."""
+    return Application(
+        [(METRICS_PATH, MetricsHandler, {"metrics": metrics})],
+        log_function=lambda handler: None,
+    )
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -24,6 +24,8 @@
 
 # Jobs of this priority may count on their client account's guarantee.
 URGENT_PRIORITY = 0
+# Kind of the log line of a unit that got its servers.
+PLACED = "unit.placed"
 
 
 @dataclass
@@ -218,7 +220,7 @@
     guaranteed = job.job_id in draft.guaranteed
     begin_attempt(draft.state, job, unit, placements, draft.now, guaranteed)
     draft.state.note(
-        "unit.placed",
+        PLACED,
         job.job_id,
         unit=unit.key,
         run=unit.last_run,
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -264,14 +264,11 @@
         Time that a member of a gang waits for the others.
     stop_seconds : float
         Longest time that a stopped run takes to end.
-    status_seconds : float
-        Time that the state of an ended job stays readable.
     """
 
     lease_seconds: float
     gang_wait_seconds: float
     stop_seconds: float
-    status_seconds: float
 
 
 @dataclass(slots=True)
--- a/src/cardamomdyke/platform/store.py
+++ b/src/cardamomdyke/platform/store.py
@@ -184,11 +184,14 @@
     ----------
     clock : callable
         Returns seconds.
+    observe : callable
+        Takes the path and the duration in seconds of each call.
     answered_at : float
         Time of the last answer that was no refusal to serve; 0 for none.
     """
 
     clock: Callable[[], float]
+    observe: Callable[[str, float], None]
     answered_at: float = 0.0
 
 
@@ -377,9 +380,11 @@
         url = f"http://{self.address}{path}"
         if query:
             url = f"{url}?{urlencode(query)}"
+        began = self.contact.clock()
         result = await send_call(
             self.http, HttpCall(method, url, body=body, timeout_seconds=timeout_seconds)
         )
+        self.contact.observe(path, self.contact.clock() - began)
         if result.is_error():
             fault = result.error
             not_sent = fault.kind is TransportFaultKind.NOT_SENT
--- a/tests/control/parts.py
+++ b/tests/control/parts.py
@@ -11,7 +11,9 @@
 from cardamomdyke.control.context import Context, OperatorState
 from cardamomdyke.control.desk import CallerRequest, Desk
 from cardamomdyke.control.journal import Journal
+from cardamomdyke.control.metrics import make_metrics
 from cardamomdyke.jobs.ledger import Ledger, apply_record
+from cardamomdyke.jobs.retention import make_retention
 from cardamomdyke.model.queues import (
     Account,
     QueuePool,
@@ -36,7 +38,9 @@
     """Keeps appended records, or fails as it is told."""
 
     contact: StoreContact = field(
-        default_factory=lambda: StoreContact(read_clock, read_clock())
+        default_factory=lambda: StoreContact(
+            read_clock, lambda path, seconds: None, read_clock()
+        )
     )
     records: list[KeyedRecord] = field(default_factory=list)
     faults: list[StoreFault] = field(default_factory=list)
@@ -92,6 +96,8 @@
         Ledger(),
         operator,
         cast(Any, feed),
+        make_retention(120.0),
+        make_metrics(journal),
     )
     feed.context = context
     return context
--- /dev/null
+++ b/tests/control/test_driver.py
@@ -0,0 +1,52 @@
+"""What one term of the planner does with the store."""
+
+from types import SimpleNamespace
+from typing import Any, cast
+
+from cardamomdyke.control.clock import read_clock
+from cardamomdyke.control.driver import Term
+from cardamomdyke.jobs.ledger import apply_record
+from cardamomdyke.jobs.records import (
+    JOB_PREFIX,
+    PROGRESS_PREFIX,
+    JobPhase,
+    JobProgress,
+    JobRecord,
+    encode_job,
+    encode_progress,
+)
+from cardamomdyke.model.orders import JobOrder
+from cardamomdyke.planner.progress import add_job
+from cardamomdyke.planner.state import Limits, PlannerState
+from cardamomdyke.platform.store import KeyedRecord
+from tests.control.parts import make_context
+
+JOB = "00000000000000a1"
+HELD = "00000000000000b2"
+
+
+def make_term() -> Term:
+    """Return a term in which two jobs ended long ago and one still holds room."""
+    context = make_context()
+    state = PlannerState(Limits(6.0, 3.0, 0.9), 1, read_clock())
+    for job_id in (JOB, HELD):
+        order = JobOrder("x", ())
+        record = JobRecord(job_id, "q", "a", "p", 1, 1, 1.0, 0.0, 0.0, order)
+        progress = encode_progress(JobProgress(JobPhase.COMPLETED, True))
+        apply_record(context.ledger, JOB_PREFIX + job_id, encode_job(record))
+        change = apply_record(context.ledger, PROGRESS_PREFIX + job_id, progress)
+        long_ago = read_clock() - context.retention.keep_seconds - 1.0
+        context.retention.note_change(context.ledger, change, long_ago)
+    add_job(state, context.ledger.jobs[HELD], read_clock())
+    leadership = SimpleNamespace(term=1, may_order=True)
+    unused = cast(Any, None)
+    return Term(context, cast(Any, leadership), unused, unused, unused, state)
+
+
+def test_job_that_holds_room_is_not_dropped() -> None:
+    """Guards against a takeover that counts the room of a silent server as free."""
+    removals = make_term().list_removals()
+    assert removals == [
+        KeyedRecord(JOB_PREFIX + JOB, b""),
+        KeyedRecord(PROGRESS_PREFIX + JOB, b""),
+    ]
--- /dev/null
+++ b/tests/control/test_journal.py
@@ -0,0 +1,82 @@
+"""Log lines and metrics of a daemon."""
+
+import asyncio
+import os
+from collections.abc import Iterator
+
+import pytest
+from prometheus_client import generate_latest
+
+from cardamomdyke.control import journal as journal_module
+from cardamomdyke.control.clock import read_clock
+from cardamomdyke.control.journal import BUFFERED_LINES, LINE_BURST, Journal
+from cardamomdyke.control.metrics import make_metrics
+
+
+@pytest.fixture
+def blocked_output(monkeypatch: pytest.MonkeyPatch) -> Iterator[int]:
+    """Give the journal a pipe that nobody reads; yield its other end."""
+    reading, writing = os.pipe()
+    os.set_blocking(writing, False)
+    monkeypatch.setattr(journal_module, "STANDARD_OUTPUT", writing)
+    yield reading
+    os.close(reading)
+    os.close(writing)
+
+
+def make_line(number: int) -> dict[str, object]:
+    return {"message_type": "job.accepted", "subject": f"{number:016x}", "x": "y" * 200}
+
+
+def test_reader_that_stopped_blocks_no_decision(blocked_output: int) -> None:
+    """Guards against a daemon that stands still because nobody reads its lines."""
+
+    async def scenario() -> None:
+        journal = Journal("vm", filled_at=read_clock())
+        for number in range(BUFFERED_LINES):
+            journal.accept(make_line(number))
+        assert 0 < len(journal.lines) < BUFFERED_LINES
+        waiting = len(journal.lines)
+        os.read(blocked_output, 1_000_000)
+        await asyncio.sleep(0.05)
+        assert len(journal.lines) < waiting
+        asyncio.get_running_loop().remove_writer(journal_module.STANDARD_OUTPUT)
+
+    asyncio.run(scenario())
+
+
+def test_lines_above_the_limit_are_counted() -> None:
+    """Guards against a flood of lines, and against a gap that nobody sees."""
+    journal = Journal("vm", filled_at=read_clock())
+    surplus = 50
+    for number in range(int(LINE_BURST) + surplus):
+        journal.write("request.refused", str(number))
+    assert journal.counts["request.refused"] == LINE_BURST + surplus
+    # A few tokens come back while the loop runs.
+    assert 0 < journal.left_out <= surplus
+    text = generate_latest(make_metrics(journal).registry).decode()
+    assert f"cardamomdyke_log_lines_left_out_total {journal.left_out:.1f}" in text
+
+
+def test_buffer_of_lines_is_bounded() -> None:
+    """Guards against memory that grows while nobody reads."""
+    journal = Journal("vm", filled_at=read_clock())
+    journal.lines.extend([b"x\n"] * BUFFERED_LINES)
+    assert not journal.take_token()
+
+
+def test_counters_and_histograms_are_exposed() -> None:
+    """Guards against a scraper that gets no figures."""
+    journal = Journal("vm", filled_at=read_clock())
+    journal.count("start.confirmed", 3)
+    metrics = make_metrics(journal)
+    metrics.note_request("POST", 200, 0.02)
+    metrics.note_store_call("/log-append", 0.3)
+    metrics.note_start(0, 0.4)
+    text = generate_latest(metrics.registry).decode()
+    assert 'cardamomdyke_events_total{event="start.confirmed"} 3.0' in text
+    assert (
+        'cardamomdyke_request_seconds_bucket{code="200",le="0.025",method="POST"} 1.0'
+    ) in text
+    assert 'cardamomdyke_store_call_seconds_sum{call="/log-append"} 0.3' in text
+    assert 'cardamomdyke_start_wait_seconds_count{priority="0"} 1.0' in text
--- a/tests/planner/world.py
+++ b/tests/planner/world.py
@@ -235,7 +235,7 @@
             self.run_for(max(0.0, former.right_until - self.now))
         self.epoch += 1
         ledger = self.read_ledger()
-        limits = Limits(LEASE_LIMIT_SECONDS, GANG_WAIT_SECONDS, STOP_SECONDS, 120.0)
+        limits = Limits(LEASE_LIMIT_SECONDS, GANG_WAIT_SECONDS, STOP_SECONDS)
         state = PlannerState(limits, self.epoch, self.now, tables=self.make_tables())
         update_servers(state, self.listed.values(), self.now)
         restore_jobs(state, ledger, self.now)
