Claim the room that is freed for an urgent unit, and keep ages of runs

Three faults: each plan chose places anew, so that what was freed for one unit went to another; an attempt was marked as guaranteed only in the plan after the one that began it, since the mark was passed in the place of another field, so that a second guaranteed job could stop it at once; and after a takeover every run counted as just begun, so that stops of long work seemed to cost nothing.

Change: a unit claims the servers of its bid until it starts, they become unusable or their room goes to someone with a better right. The mark is passed by name.

Urgent jobs that wait for stops remain the largest loss.

--- a/src/cardamomdyke/jobs/records.py
+++ b/src/cardamomdyke/jobs/records.py
@@ -111,6 +111,9 @@
         Where the next run resumes; empty for none.
     members : tuple of MemberRecord
         Where the last run was sent; empty once it is known to be over.
+    began_at : float
+        Unix time of the last run's start in seconds, by the clock of the VM that
+        planned it. Good for a rough age only; 0 when it is not known.
     """
 
     occurrence: int
@@ -121,6 +124,7 @@
     failed_runs: tuple[int, ...] = ()
     checkpoint: str = ""
     members: tuple[MemberRecord, ...] = ()
+    began_at: float = 0.0
 
 
 class JobProgress(Struct, frozen=True, array_like=True):
--- a/src/cardamomdyke/planner/attempts.py
+++ b/src/cardamomdyke/planner/attempts.py
@@ -51,7 +51,9 @@
         server = state.servers[name]
         members[index] = Member(index, name, server.life)
         server.holders[(job.job_id, unit.key, index)] = shape
-    unit.attempt = Attempt(unit.last_run, members, now, unit.checkpoint, guaranteed)
+    unit.attempt = Attempt(
+        unit.last_run, members, now, unit.checkpoint, guaranteed=guaranteed
+    )
     state.mark_changed(job)
 
 
--- a/src/cardamomdyke/planner/placement.py
+++ b/src/cardamomdyke/planner/placement.py
@@ -1,5 +1,6 @@
 """Finds room for units on backend servers."""
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -102,6 +103,15 @@
     room.accelerators -= shape.accelerators * count
 
 
+def holds_all(rooms: Rooms, names: Iterable[str], shape: Shape) -> bool:
+    """Tell whether servers, named once for each task, hold tasks of a shape."""
+    for name, count in Counter(names).items():
+        room = rooms.by_name.get(name)
+        if room is None or count_fits(room, shape) < count:
+            return False
+    return True
+
+
 def copy_room(room: Room) -> Room:
     """Return a copy that can be changed."""
     return Room(
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -5,11 +5,13 @@
 from dataclasses import dataclass, field
 
 from cardamomdyke.jobs.records import GANG
+from cardamomdyke.model.orders import StepOrder
 from cardamomdyke.planner.attempts import abort_attempt, begin_attempt
 from cardamomdyke.planner.placement import (
     Rooms,
     copy_room,
     find_places,
+    holds_all,
     open_rooms,
     take_room,
 )
@@ -64,8 +66,32 @@
     waiting = [job for job in state.jobs.values() if not job.over]
     draft.guaranteed = find_guaranteed(state, waiting)
     mark_guaranteed(waiting, draft.guaranteed)
-    for job in sorted(waiting, key=lambda item: rank_job(draft, item)):
-        place_job(draft, job)
+    ranked = sorted(waiting, key=lambda item: rank_job(draft, item))
+    covered = [job for job in ranked if job.job_id in draft.guaranteed]
+    others = [job for job in ranked if job.job_id not in draft.guaranteed]
+    # Room that is being freed for a guaranteed job is taken by no one else, room
+    # for another urgent job by no job without a guarantee.
+    for group in (covered, others):
+        for job in group:
+            hold_claims(draft, job)
+        for job in group:
+            place_job(draft, job)
+
+
+def hold_claims(draft: Draft, job: Job) -> None:
+    """Take the room that stops under way are to free for a job's units."""
+    rooms = find_rooms(draft, job.record.pool)
+    for unit in job.units.values():
+        known = all(name in rooms.by_name for name in unit.claimed)
+        if not known or not is_ready(job, unit, draft.now):
+            unit.claimed = ()
+        take_claim(rooms, job, unit)
+
+
+def take_claim(rooms: Rooms, job: Job, unit: Unit, count: int = 1) -> None:
+    """Take the room that a unit claims; a count of -1 gives it back."""
+    for name in unit.claimed:
+        take_room(rooms.by_name[name], job.step_of(unit).shape, count)
 
 
 def rank_job(draft: Draft, job: Job) -> tuple[int, bool, float]:
@@ -131,12 +157,20 @@
         step_number = unit.key[1]
         if step_number in misfits:
             continue
+        take_claim(rooms, job, unit, -1)
         if place_unit(draft, rooms, job, unit):
+            unit.claimed = ()
             continue
         if not (urgent and reclaim_room(draft, rooms, job, unit)):
             misfits.add(step_number)
 
 
+def keeps_limit(step: StepOrder, unit: Unit, placed: Counter[str]) -> bool:
+    """Tell whether a unit's claim leaves each server within the step's limit."""
+    counts = placed + Counter(unit.claimed)
+    return not step.server_limit or max(counts.values()) <= step.server_limit
+
+
 def reclaim_room(draft: Draft, rooms: Rooms, job: Job, unit: Unit) -> bool:
     """Keep room for an urgent unit, and stop other work for it if need be.
 
@@ -148,12 +182,18 @@
     count = len(list_indices(step, unit))
     placed = count_placed(job, unit) if step.server_limit else Counter()
     guaranteed = job.job_id in draft.guaranteed
+    coming = add_coming(state, rooms)
+    if unit.claimed and holds_all(coming, unit.claimed, step.shape):
+        # A new bid would stop other work each time that a cost has changed.
+        take_claim(rooms, job, unit)
+        return True
+    unit.claimed = ()
     market = open_market(state, job.record.priority, guaranteed, draft.now)
-    bid = find_bid(add_coming(state, rooms), market, step, count, placed)
+    bid = find_bid(coming, market, step, count, placed)
     if bid is None:
         return False
-    for name in bid.names:
-        take_room(rooms.by_name[name], step.shape)
+    unit.claimed = tuple(bid.names)
+    take_claim(rooms, job, unit)
     for key, victim in bid.victims.items():
         other = state.jobs[key[0]]
         state.note(
@@ -212,6 +252,8 @@
     indices = list_indices(step, unit)
     placed = count_placed(job, unit) if step.server_limit else Counter()
     names = find_places(rooms, step, len(indices), placed, unit.avoided)
+    if unit.claimed and holds_all(rooms, unit.claimed, step.shape):
+        names = list(unit.claimed) if keeps_limit(step, unit, placed) else names
     if names is None:
         return False
     for name in names:
--- a/src/cardamomdyke/planner/progress.py
+++ b/src/cardamomdyke/planner/progress.py
@@ -49,24 +49,41 @@
     noted: dict[str, tuple[int, int]]
 
 
-def describe_progress(job: Job) -> JobProgress:
-    """Return what has to be recorded of a job."""
+def describe_progress(job: Job, unix_offset: float) -> JobProgress:
+    """Return what has to be recorded of a job.
+
+    Parameters
+    ----------
+    job : Job
+        The job.
+    unix_offset : float
+        Unix time less the time of the loop's clock, in seconds.
+
+    Returns
+    -------
+    JobProgress
+        Its phase and its units.
+    """
     phase = job.phase
     if phase is JobPhase.QUEUED and job.begun:
         phase = JobPhase.RUNNING
-    units = tuple(describe_unit(unit) for unit in job.units.values() if unit.last_run)
+    units = tuple(
+        describe_unit(unit, unix_offset) for unit in job.units.values() if unit.last_run
+    )
     return JobProgress(phase, job.begun, job.ended_at, units)
 
 
-def describe_unit(unit: Unit) -> UnitRecord:
+def describe_unit(unit: Unit, unix_offset: float) -> UnitRecord:
     """Return what has to be recorded of a unit."""
     members: tuple[MemberRecord, ...] = ()
+    began_at = 0.0
     if unit.attempt is not None:
         members = tuple(
             MemberRecord(member.index, member.server, member.life)
             for member in unit.attempt.members.values()
             if member.phase is not MemberPhase.ENDED
         )
+        began_at = round(unit.attempt.started_at + unix_offset, 3)
     occurrence, step, index = unit.key
     return UnitRecord(
         occurrence,
@@ -77,6 +94,7 @@
         tuple(sorted(unit.failed_runs)),
         unit.checkpoint,
         members,
+        began_at,
     )
 
 
@@ -93,7 +111,7 @@
     starts: list[tuple[str, UnitKey, int]] = []
     for job_id in state.changed:
         job = state.jobs[job_id]
-        progress[job_id] = describe_progress(job)
+        progress[job_id] = describe_progress(job, state.unix_offset)
         for unit in job.units.values():
             if unit.attempt is not None and is_planned(unit.attempt):
                 starts.append((job_id, unit.key, unit.attempt.run))
@@ -222,12 +240,22 @@
         members[item.index] = member
         server = find_server(state, item.server, now)
         server.holders[(job.job_id, unit.key, item.index)] = shape
-    unit.attempt = Attempt(record.run, members, now)
+    unit.attempt = Attempt(record.run, members, now - measure_age(state, record, now))
     partial = unit.key[2] == GANG and len(members) < job.step_of(unit).count
     if job.over or (partial and not unit.done):
         abort_attempt(state, job, unit, "it was being stopped at the takeover", now)
 
 
+def measure_age(state: PlannerState, record: UnitRecord, now: float) -> float:
+    """Return how long a recorded run has lasted, in seconds.
+
+    The two clocks may disagree, so a time in the future counts as now.
+    """
+    if not record.began_at:
+        return 0.0
+    return max(0.0, now + state.unix_offset - record.began_at)
+
+
 def find_server(state: PlannerState, name: str, now: float) -> Server:
     """Return a server that may hold runs; one that is not listed is silent."""
     server = state.servers.get(name)
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -135,6 +135,8 @@
         Servers on which it failed or could not be started.
     not_before : float
         Time before which it is not tried again.
+    claimed : tuple of str
+        Servers, one for each task, whose room is being freed for it.
     """
 
     key: UnitKey
@@ -145,6 +147,7 @@
     attempt: Attempt | None = None
     avoided: set[str] = field(default_factory=set)
     not_before: float = 0.0
+    claimed: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -344,3 +344,52 @@
     others = [item for item in world.hall.servers.values() if item is not busy]
     assert [run.run for item in others for run in item.runs.values()] == [2]
     assert world.violations == []
+
+
+def test_new_planner_knows_the_age_of_runs() -> None:
+    """Guards against a new planner that stops long work as if it had just begun.
+
+    Seen in the incident of vjf-orders: after a takeover every stop cost 0.2 core
+    seconds, and work that had run for seconds was chosen like any other.
+    """
+    world = make_world(2)
+    world.submit(JOB, [(make_step(1, 8), StepPlan(60.0))], priority=1)
+    world.run_for(4.0)
+    world.submit(OTHER, [(make_step(1, 8), StepPlan(60.0))], priority=1)
+    world.run_for(1.0)
+    world.planner.alive = False
+    world.take_over()
+    world.run_for(0.5)
+    world.submit(THIRD, [(make_step(1, 8), StepPlan(60.0))], priority=0)
+    world.run_for(2.0)
+    runs = [run for s in world.hall.servers.values() for run in s.runs.values()]
+    assert {run.task.job_id for run in runs} == {JOB, THIRD}
+    assert world.violations == []
+
+
+def test_room_that_is_freed_for_one_job_stops_no_work_twice() -> None:
+    """Guards against a second round of stops after others took what was freed.
+
+    Seen on hiwar-pairing, trouble-1, seed 11: 79 runs were stopped for a gang that
+    32 accelerators were enough for, since each plan chose places anew.
+    """
+    world = make_world(4, guaranteed=40)
+    for number in range(4):
+        tasks = [(make_step(8, 1), StepPlan(60.0, 8))]
+        world.submit(f"{number:016x}", tasks, priority=2)
+    world.run_for(2.0)
+    small = [(make_step(1, 4), StepPlan(30.0))]
+    gang = [(make_step(2, 8, gang=True), StepPlan(30.0, 2, True))]
+    world.submit(JOB, small, priority=0, account="owner")
+    world.run_for(0.05)
+    world.submit(OTHER, gang, priority=0, account="owner")
+    world.run_for(0.15)
+    world.submit(THIRD, gang, priority=0, account="owner")
+    world.run_for(RECLAIM_SECONDS)
+    # The first two need 20 of 32 accelerators, and the second gang has to wait.
+    jobs = world.planner.state.jobs.values()
+    low = [unit for job in jobs if job.record.priority for unit in job.units.values()]
+    assert len([unit for unit in low if unit.attempt is not None]) == 32 - 20
+    runs = [run for s in world.hall.servers.values() for run in s.runs.values()]
+    assert {run.task.job_id for run in runs} >= {JOB, OTHER}
+    assert world.violations == []
