--- a/src/cardamomdyke/control/app.py
+++ b/src/cardamomdyke/control/app.py
@@ -28,7 +28,6 @@
 from cardamomdyke.control.relay import Reception, Relay
 from cardamomdyke.control.reload import Reloader
 from cardamomdyke.jobs.ledger import Ledger, apply_record, is_waiting
-from cardamomdyke.jobs.records import WORK_TOPIC
 from cardamomdyke.jobs.retention import make_retention
 from cardamomdyke.membership.peers import (
     PEER_PREFIX,
@@ -39,6 +38,7 @@
 from cardamomdyke.platform.settings import NodeSettings
 from cardamomdyke.platform.store import (
     OPERATOR_TOPIC,
+    WORK_TOPIC,
     KeyedRecord,
     StoreClient,
     StoreContact,
--- a/src/cardamomdyke/control/appends.py
+++ b/src/cardamomdyke/control/appends.py
@@ -5,8 +5,7 @@
 
 from expression import Result
 
-from cardamomdyke.jobs.records import WORK_TOPIC
-from cardamomdyke.platform.store import KeyedRecord, StoreClient, StoreFault
+from cardamomdyke.platform.store import WORK_TOPIC, KeyedRecord, StoreClient, StoreFault
 
 # A slow store answers an append after up to 2 s and refuses more beyond that; a
 # caller waits for 3 s.
--- a/src/cardamomdyke/control/recorder.py
+++ b/src/cardamomdyke/control/recorder.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 
 from cardamomdyke.control.journal import Journal
-from cardamomdyke.jobs.records import WORK_TOPIC
 from cardamomdyke.platform.store import (
+    WORK_TOPIC,
     KeyedRecord,
     Producer,
     StoreClient,
--- a/src/cardamomdyke/jobs/records.py
+++ b/src/cardamomdyke/jobs/records.py
@@ -9,7 +9,6 @@
 
 from cardamomdyke.model.orders import JobOrder
 
-WORK_TOPIC = "keyed.work"
 JOB_PREFIX = "j"
 CANCELLATION_PREFIX = "c"
 PROGRESS_PREFIX = "p"
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -66,11 +66,13 @@
     waiting = [job for job in state.jobs.values() if not job.over]
     draft.guaranteed = find_guaranteed(state, waiting)
     mark_guaranteed(waiting, draft.guaranteed)
-    ranked = sorted(waiting, key=lambda item: rank_job(draft, item))
+    ranked = sorted(waiting, key=rank_job)
     covered = [job for job in ranked if job.job_id in draft.guaranteed]
     others = [job for job in ranked if job.job_id not in draft.guaranteed]
-    # Room that is being freed for a guaranteed job is taken by no one else, room
-    # for another urgent job by no job without a guarantee.
+    # Guaranteed jobs come first. In the order of arrival, an older job would take
+    # the room that a guaranteed one has just reclaimed. Room that is being freed
+    # for a guaranteed job is taken by no one else, room for another urgent job by
+    # no job without a guarantee.
     for group in (covered, others):
         for job in group:
             hold_claims(draft, job)
@@ -94,14 +96,9 @@
         take_room(rooms.by_name[name], job.step_of(unit).shape, count)
 
 
-def rank_job(draft: Draft, job: Job) -> tuple[int, bool, float]:
-    """Return a key that puts the job to serve first in front.
-
-    Guaranteed jobs come before others of their priority. In the order of arrival,
-    an older job would take the room that a guaranteed one has just reclaimed.
-    """
-    borrows = job.job_id not in draft.guaranteed
-    return job.record.priority, borrows, job.arrived_at
+def rank_job(job: Job) -> tuple[int, float]:
+    """Return a key that puts the job to serve first in front."""
+    return job.record.priority, job.arrived_at
 
 
 def find_guaranteed(state: PlannerState, jobs: Iterable[Job]) -> frozenset[str]:
--- a/src/cardamomdyke/platform/store.py
+++ b/src/cardamomdyke/platform/store.py
@@ -18,6 +18,8 @@
 # The topics that the operator and the backend servers write to.
 OPERATOR_TOPIC = "keyed.op"
 SERVERS_TOPIC = "keyed.servers"
+# The topic of the daemons: jobs, their progress, and the daemons' addresses.
+WORK_TOPIC = "keyed.work"
 # Before each record: its length. Before the records of a read: the end of the
 # partition and its first retained offset.
 RECORD_LENGTH = Layout(">I")
--- a/src/cardamomdyke_standins/platform_store.py
+++ b/src/cardamomdyke_standins/platform_store.py
@@ -267,22 +267,6 @@
         self.finish_change(encode(answer))
 
 
-class OwnersHandler(FaultyHandler):
-    """``GET /log-owners``."""
-
-    store: Store
-
-    def get(self) -> None:
-        """Tell who holds each partition."""
-        name = self.get_query_argument("group")
-        group = self.store.groups.setdefault(name, Group())
-        group.drop_silent(self.store.clock())
-        parts = [
-            [name, part, owner, 0] for part, owner in group.owners.items() if owner
-        ]
-        self.finish(encode({"generation": group.generation, "parts": parts}))
-
-
 class LeaveHandler(FaultyHandler):
     """``POST /log-leave``."""
 
@@ -318,7 +302,6 @@
             (r"/log-read", ReadHandler, arguments),
             (r"/log-newest", NewestHandler, arguments),
             (r"/log-join", JoinHandler, arguments),
-            (r"/log-owners", OwnersHandler, arguments),
             (r"/log-leave", LeaveHandler, arguments),
             (r"/log-trim", TrimHandler, arguments),
             (r"/faults", FaultsHandler, {"control": control}),
