Serve scheduled jobs, tasks that last and work near its data

Cause: jobs with repetitions and tasks that run until they are cancelled were refused, and the rack of a step's data was ignored, so deployments that use these parts of the contracts were not served.

Change: planner/occurrences.py opens each occurrence when it is due and closes it when all of it is done; what a former planner opened stays open, whatever the clocks say. The time of day is the steady clock plus the median of a minute of readings, so that a jump of one VM's clock moves no occurrence. Tasks that last are started again however they end, displace all but guaranteed work, leave draining servers, and give way to a guarantee only where their job sets no limit of absences. A task waits for its data's rack up to 2 s, and only as long as that can save time.

Found on the way: a job of priority 0 without accelerators, whose account is not in the tables, ended the planner with a KeyError.

--- a/src/cardamomdyke/control/app.py
+++ b/src/cardamomdyke/control/app.py
@@ -241,6 +241,7 @@
             announce(context, peer),
             planning.run_forever(),
             reloader.watch_forever(),
+            context.unix_clock.take_readings_forever(),
         )
     ]
     journal.write("daemon.started", settings.vm, domain=settings.failure_domain)
--- a/src/cardamomdyke/control/context.py
+++ b/src/cardamomdyke/control/context.py
@@ -6,6 +6,7 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from cardamomdyke.control.appends import Appender
+from cardamomdyke.control.clock import UnixClock, make_unix_clock
 from cardamomdyke.control.feeds import TopicFeed
 from cardamomdyke.control.journal import Journal
 from cardamomdyke.control.metrics import Metrics
@@ -162,6 +163,8 @@
         Daemons that have announced themselves, by VM.
     changed : asyncio.Event
         Set, and replaced by a new one, when the ledger has changed.
+    unix_clock : UnixClock
+        Time of day without jumps.
     stopping : bool
         True once the daemon has been told to stop.
     """
@@ -178,6 +181,7 @@
     appender: Appender
     peers: dict[str, Peer] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    unix_clock: UnixClock = field(default_factory=make_unix_clock)
     stopping: bool = False
 
     def announce_change(self) -> None:
--- a/src/cardamomdyke/control/desk.py
+++ b/src/cardamomdyke/control/desk.py
@@ -8,7 +8,7 @@
 
 from expression import Error, Ok, Result
 
-from cardamomdyke.control.clock import read_clock, read_unix_time
+from cardamomdyke.control.clock import read_clock
 from cardamomdyke.control.context import Context
 from cardamomdyke.jobs.admission import check_job_id, check_order, find_unserved
 from cardamomdyke.jobs.ledger import count_waiting, find_phase
@@ -246,7 +246,9 @@
     return Error(Refusal(405, "bad_method", detail, "use POST, GET or DELETE"))
 
 
-def read_job(target: Target, body: bytes) -> Result[JobRecord, Refusal]:
+def read_job(
+    target: Target, body: bytes, accepted_at: float
+) -> Result[JobRecord, Refusal]:
     """Read and check a job that is handed in.
 
     Parameters
@@ -255,6 +257,8 @@
         Queue, account and id.
     body : bytes
         Body of the request.
+    accepted_at : float
+        Unix time, in seconds.
 
     Returns
     -------
@@ -285,7 +289,7 @@
             attempt_limit=route.attempt_limit,
             stretch=route.stretch,
             target_seconds=route.target_seconds,
-            accepted_at=read_unix_time(),
+            accepted_at=accepted_at,
             order=order.ok,
         )
     )
@@ -336,7 +340,7 @@
     @perform.register
     async def _(self, command: Submission) -> CallerAnswer:
         job_id = command.target.job_id
-        result = read_job(command.target, command.body)
+        result = read_job(command.target, command.body, self.context.unix_clock.read())
         if result.is_error():
             return self.refuse(job_id, result.error)
         if job_id in self.context.ledger.jobs:
--- a/src/cardamomdyke/control/driver.py
+++ b/src/cardamomdyke/control/driver.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
-from cardamomdyke.control.clock import read_clock, read_unix_time
+from cardamomdyke.control.clock import read_clock
 from cardamomdyke.control.context import (
     Context,
     ServerDirectory,
@@ -30,6 +30,7 @@
     note_stop,
     update_servers,
 )
+from cardamomdyke.planner.occurrences import find_next_due
 from cardamomdyke.planner.planning import PLACED, plan_starts
 from cardamomdyke.planner.progress import (
     Batch,
@@ -119,14 +120,22 @@
             self.start_recording()
             self.watch_servers()
             try:
-                await asyncio.wait_for(self.dirty.wait(), TICK_SECONDS)
+                await asyncio.wait_for(self.dirty.wait(), self.find_pause())
             except TimeoutError:
                 continue
             await asyncio.sleep(GATHER_SECONDS)
             self.dirty.clear()
 
+    def find_pause(self) -> float:
+        """Return how long the next plan may wait, in seconds."""
+        due = find_next_due(self.state)
+        if due is None:
+            return TICK_SECONDS
+        return min(TICK_SECONDS, max(0.0, due - read_clock()))
+
     def refresh_inputs(self) -> None:
         """Take over what the store says of servers, tables and evacuations."""
+        self.state.unix_offset = self.context.unix_clock.offset
         self.state.tables = self.context.operator.tables
         self.state.evacuated = frozenset(self.context.operator.evacuated)
         update_servers(self.state, self.directory.list_entries(), read_clock())
@@ -383,10 +392,11 @@
             bounds.lease_limit_seconds,
             bounds.gang_wait_seconds,
             bounds.stop_grace_seconds,
+            bounds.remote_factor,
         ),
         fence=fence,
         took_over_at=now,
-        unix_offset=read_unix_time() - now,
+        unix_offset=context.unix_clock.offset,
     )
     update_servers(state, directory.list_entries(), now)
     restore_jobs(state, context.ledger, now)
--- a/src/cardamomdyke/jobs/admission.py
+++ b/src/cardamomdyke/jobs/admission.py
@@ -66,11 +66,7 @@
 
 def find_unserved(order: JobOrder) -> str:
     """Return what of an order is not served yet, or an empty text."""
-    if order.repetitions:
-        return "scheduled repetitions"
     for step in order.steps:
-        if step.long_running:
-            return "steps that run until they are cancelled"
         if step.fills or step.target_seconds:
             return "shared backend servers"
     return ""
--- a/src/cardamomdyke/jobs/records.py
+++ b/src/cardamomdyke/jobs/records.py
@@ -138,13 +138,19 @@
     ended_at : float
         Unix time of the job's end, in seconds; 0 before.
     units : tuple of UnitRecord
-        Units that have been started at least once.
+        Units of open occurrences that have been started at least once.
+    closed_below : int
+        Every occurrence below this one is done.
+    closed : tuple of int
+        Later occurrences that are done.
     """
 
     phase: JobPhase
     begun: bool = False
     ended_at: float = 0.0
     units: tuple[UnitRecord, ...] = ()
+    closed_below: int = 0
+    closed: tuple[int, ...] = ()
 
 
 _JOB_DECODER = Decoder(JobRecord)
--- a/src/cardamomdyke/planner/attempts.py
+++ b/src/cardamomdyke/planner/attempts.py
@@ -45,6 +45,7 @@
         True when it counts on the account's guarantee.
     """
     unit.last_run += 1
+    unit.ready_since = 0.0
     shape = job.step_of(unit).shape
     members = {}
     for index, name in placements.items():
@@ -91,7 +92,8 @@
     if server is not None:
         server.holders.pop((job.job_id, unit.key, member.index), None)
     state.mark_changed(job)
-    if kind is EndKind.DONE:
+    # A task that lasts is started again however it ends.
+    if kind is EndKind.DONE and not job.step_of(unit).long_running:
         finish_unit(state, job, unit, now)
     elif not unit.done:
         if kind is EndKind.FAILED:
@@ -113,7 +115,7 @@
     if unit.done:
         return
     unit.done = True
-    if not job.over and all(item.done for item in job.units.values()):
+    if not job.over and job.all_done:
         end_job(state, job, JobPhase.COMPLETED, "every task is done", now)
 
 
@@ -128,7 +130,9 @@
     """Count a failed run against its unit and its server."""
     if attempt.run in unit.failed_runs:
         return
-    unit.failed_runs.add(attempt.run)
+    limited = not job.step_of(unit).long_running
+    if limited:
+        unit.failed_runs.add(attempt.run)
     unit.avoided.add(member.server)
     state.note(
         "task.failed",
@@ -139,7 +143,6 @@
         failed=len(unit.failed_runs),
         limit=job.record.attempt_limit,
     )
-    limited = not job.step_of(unit).long_running
     if limited and len(unit.failed_runs) >= job.record.attempt_limit and not job.over:
         reason = f"unit {unit.key} used up its attempts"
         end_job(state, job, JobPhase.FAILED, reason, now)
--- a/src/cardamomdyke/planner/contacts.py
+++ b/src/cardamomdyke/planner/contacts.py
@@ -269,15 +269,19 @@
     """Count the room of a run that no attempt knows, and stop it."""
     key = (report.task, report.run)
     if key not in server.strays:
-        job, unit = find_unit(state, report.task)
-        room = server.entry.capacity
-        if job is not None and unit is not None:
-            room = job.step_of(unit).shape
-        server.strays[key] = room
+        server.strays[key] = find_room(state, server, report.task)
         state.note("run.unknown", report.task.job_id, server=server.entry.name)
     state.actions.append(SendStop(server.entry.name, report.task, report.run))
 
 
+def find_room(state: PlannerState, server: Server, task: TaskId) -> Shape:
+    """Return the room of a task; all of the server when its job is not known."""
+    job = state.jobs.get(task.job_id)
+    if job is None or task.step >= len(job.record.order.steps):
+        return server.entry.capacity
+    return job.record.order.steps[task.step].shape
+
+
 def confirm_member(
     state: PlannerState,
     job: Job,
--- a/src/cardamomdyke/planner/placement.py
+++ b/src/cardamomdyke/planner/placement.py
@@ -153,11 +153,7 @@
         One name for each task; None when they do not fit together.
     """
     left_out = set(avoided)
-    allowed = [
-        room
-        for room in rooms.by_name.values()
-        if not step.required_label or step.required_label in room.labels
-    ]
+    allowed = list_allowed(rooms, step)
     preferred = [room for room in allowed if room.name not in left_out]
     found = find_in_groups(preferred, step, count, placed)
     if found is None and len(preferred) < len(allowed):
@@ -165,6 +161,15 @@
     return found
 
 
+def list_allowed(rooms: Rooms, step: StepOrder) -> list[Room]:
+    """Return the rooms whose servers have the label that a step requires."""
+    return [
+        room
+        for room in rooms.by_name.values()
+        if not step.required_label or step.required_label in room.labels
+    ]
+
+
 def find_in_groups(
     allowed: list[Room], step: StepOrder, count: int, placed: Mapping[str, int]
 ) -> list[str] | None:
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -7,6 +7,7 @@
 from cardamomdyke.jobs.records import GANG
 from cardamomdyke.model.orders import StepOrder
 from cardamomdyke.planner.attempts import abort_attempt, begin_attempt
+from cardamomdyke.planner.occurrences import update_occurrences
 from cardamomdyke.planner.placement import (
     Rooms,
     copy_room,
@@ -15,7 +16,7 @@
     open_rooms,
     take_room,
 )
-from cardamomdyke.planner.preemption import find_bid, open_market
+from cardamomdyke.planner.preemption import Claimant, find_bid, open_market
 from cardamomdyke.planner.state import (
     Job,
     PlannerState,
@@ -26,6 +27,8 @@
 
 # Jobs of this priority may count on their client account's guarantee.
 URGENT_PRIORITY = 0
+# The platform takes a task that waits for 3 s while its pool has room as lost.
+LONGEST_RACK_WAIT_SECONDS = 2.0
 # Kind of the log line of a unit that got its servers.
 PLACED = "unit.placed"
 
@@ -62,6 +65,7 @@
     now : float
         Seconds of the loop's clock.
     """
+    update_occurrences(state, now)
     draft = Draft(state, now)
     waiting = [job for job in state.jobs.values() if not job.over]
     draft.guaranteed = find_guaranteed(state, waiting)
@@ -78,6 +82,8 @@
             hold_claims(draft, job)
         for job in group:
             place_job(draft, job)
+    for job in ranked:
+        move_lasting(draft, job)
 
 
 def hold_claims(draft: Draft, job: Job) -> None:
@@ -118,7 +124,7 @@
     for job in sorted(urgent, key=lambda item: item.arrived_at):
         account = job.record.account
         need = count_accelerators(job)
-        if need <= left.get(account, 0):
+        if account in left and need <= left[account]:
             left[account] -= need
             covered.add(job.job_id)
     return frozenset(covered)
@@ -147,6 +153,8 @@
     ready = [unit for unit in job.units.values() if is_ready(job, unit, draft.now)]
     if not ready:
         return
+    for unit in ready:
+        unit.ready_since = unit.ready_since or draft.now
     rooms = find_rooms(draft, job.record.pool)
     urgent = job.record.priority == URGENT_PRIORITY
     misfits: set[int] = set()
@@ -158,7 +166,8 @@
         if place_unit(draft, rooms, job, unit):
             unit.claimed = ()
             continue
-        if not (urgent and reclaim_room(draft, rooms, job, unit)):
+        presses = urgent or job.step_of(unit).long_running
+        if not (presses and reclaim_room(draft, rooms, job, unit)):
             misfits.add(step_number)
 
 
@@ -185,7 +194,8 @@
         take_claim(rooms, job, unit)
         return True
     unit.claimed = ()
-    market = open_market(state, job.record.priority, guaranteed, draft.now)
+    claimant = Claimant(job.record.priority, guaranteed, step.long_running)
+    market = open_market(state, claimant, draft.now)
     bid = find_bid(coming, market, step, count, placed)
     if bid is None:
         return False
@@ -215,6 +225,30 @@
     return sums
 
 
+def move_lasting(draft: Draft, job: Job) -> None:
+    """Stop tasks that last on servers that leave, if there is room elsewhere.
+
+    They start elsewhere in a later plan, sooner than after the server has gone.
+    """
+    for unit in job.units.values():
+        attempt = unit.attempt
+        if attempt is None or attempt.reason or not job.step_of(unit).long_running:
+            continue
+        servers = draft.state.servers
+        leaves = any(
+            servers[member.server].entry.draining
+            for member in attempt.members.values()
+            if member.server in servers
+        )
+        rooms = find_rooms(draft, job.record.pool)
+        names = find_unit_places(draft, rooms, job, unit) if leaves else None
+        if names is None:
+            continue
+        for name in names:
+            take_room(rooms.by_name[name], job.step_of(unit).shape)
+        abort_attempt(draft.state, job, unit, "its server leaves", draft.now)
+
+
 def find_rooms(draft: Draft, pool: str) -> Rooms:
     """Return the free room of a pool in this plan."""
     if pool not in draft.rooms:
@@ -243,12 +277,49 @@
     return counts
 
 
+def find_unit_places(
+    draft: Draft, rooms: Rooms, job: Job, unit: Unit
+) -> list[str] | None:
+    """Find a server for each task of a unit, or None.
+
+    A unit waits for the rack of its data as long as that can save time.
+    """
+    step = job.step_of(unit)
+    placed = count_placed(job, unit) if step.server_limit else Counter()
+    count = len(list_indices(step, unit))
+    near = list_near(rooms, step)
+    if near.by_name:
+        found = find_places(near, step, count, placed, unit.avoided)
+        waited = draft.now - unit.ready_since if unit.ready_since else 0.0
+        patience = find_patience(step, draft.state.limits.remote_factor)
+        if found is not None or waited < patience:
+            return found
+    return find_places(rooms, step, count, placed, unit.avoided)
+
+
+def list_near(rooms: Rooms, step: StepOrder) -> Rooms:
+    """Return the rooms in the rack of a step's data; none for data anywhere."""
+    return Rooms(
+        {
+            name: room
+            for name, room in rooms.by_name.items()
+            if step.data_rack and room.rack == step.data_rack
+        }
+    )
+
+
+def find_patience(step: StepOrder, remote_factor: float) -> float:
+    """Return how long a task waits for the rack of its data, in seconds."""
+    longer = (remote_factor - 1.0) * step.estimated_seconds
+    return min(LONGEST_RACK_WAIT_SECONDS, max(0.0, longer))
+
+
 def place_unit(draft: Draft, rooms: Rooms, job: Job, unit: Unit) -> bool:
     """Begin an attempt for a unit if there is room."""
     step = job.step_of(unit)
     indices = list_indices(step, unit)
     placed = count_placed(job, unit) if step.server_limit else Counter()
-    names = find_places(rooms, step, len(indices), placed, unit.avoided)
+    names = find_unit_places(draft, rooms, job, unit)
     if unit.claimed and holds_all(rooms, unit.claimed, step.shape):
         names = list(unit.claimed) if keeps_limit(step, unit, placed) else names
     if names is None:
--- a/src/cardamomdyke/planner/preemption.py
+++ b/src/cardamomdyke/planner/preemption.py
@@ -9,6 +9,7 @@
     Rooms,
     copy_room,
     count_fits,
+    list_allowed,
     list_groups,
     take_room,
 )
@@ -24,6 +25,8 @@
 # The platform prices an accelerator like this many cores.
 CORES_PER_ACCELERATOR = 8.0
 MILLICORES = 1000.0
+# Above what any other stop costs, so that tasks that last are displaced last.
+LASTING_COST_CORE_SECONDS = 1e6
 
 AttemptKey = tuple[str, UnitKey]
 
@@ -47,6 +50,25 @@
     rooms: dict[str, tuple[Shape, int]]
 
 
+@dataclass(frozen=True, slots=True)
+class Claimant:
+    """A unit that needs room, as far as it matters to those that have it.
+
+    Attributes
+    ----------
+    priority : int
+        Priority of its job; 0 comes first.
+    guaranteed : bool
+        True when its client account is guaranteed the room.
+    lasting : bool
+        True when its tasks run until their job is cancelled.
+    """
+
+    priority: int
+    guaranteed: bool
+    lasting: bool
+
+
 @dataclass
 class Market:
     """Room that can be had by stopping attempts, in one plan.
@@ -84,43 +106,54 @@
         return sum(victim.cost for victim in self.victims.values())
 
 
-def open_market(
-    state: PlannerState, priority: int, guaranteed: bool, now: float
-) -> Market:
-    """List the attempts that a unit of a priority may displace.
+def open_market(state: PlannerState, claimant: Claimant, now: float) -> Market:
+    """List the attempts that a unit may displace.
 
     Parameters
     ----------
     state : PlannerState
         Everything known.
-    priority : int
-        Priority of the unit that needs room.
-    guaranteed : bool
-        True when the unit's client account is guaranteed the room.
+    claimant : Claimant
+        The unit that needs room.
     now : float
         Seconds of the loop's clock.
 
     Returns
     -------
     Market
-        Attempts of a lower priority; for a guaranteed unit also borrowed ones of
-        the same priority.
+        Attempts that count less than the claimant.
     """
     market = Market()
     for job in state.jobs.values():
-        same = job.record.priority == priority
-        if job.over or job.record.priority < priority or (same and not guaranteed):
+        if job.over:
             continue
         for unit in job.units.values():
             attempt = unit.attempt
             if attempt is None or attempt.reason or unit.done:
                 continue
-            if same and attempt.guaranteed:
-                continue
-            add_victim(market, job, unit, attempt, now)
+            if may_displace(claimant, job, job.step_of(unit), attempt):
+                add_victim(market, job, unit, attempt, now)
     return market
 
 
+def may_displace(
+    claimant: Claimant, job: Job, step: StepOrder, attempt: Attempt
+) -> bool:
+    """Tell whether an attempt counts less than a unit that needs its room.
+
+    Tasks that last have to run however full the pool is, so they displace all
+    that no guarantee protects. They give way to a guarantee only, and not at all
+    when their job limits how many of them may be away.
+    """
+    if attempt.guaranteed:
+        return False
+    if step.long_running:
+        return claimant.guaranteed and not step.absence_limit
+    if claimant.lasting or job.record.priority > claimant.priority:
+        return True
+    return claimant.guaranteed and job.record.priority == claimant.priority
+
+
 def add_victim(
     market: Market, job: Job, unit: Unit, attempt: Attempt, now: float
 ) -> None:
@@ -130,11 +163,12 @@
     for member in attempt.members.values():
         if member.phase is not MemberPhase.ENDED:
             counts[member.server] = counts.get(member.server, 0) + 1
+    penalty = LASTING_COST_CORE_SECONDS if job.step_of(unit).long_running else 0.0
     size = shape.millicores / MILLICORES + shape.accelerators * CORES_PER_ACCELERATOR
     lost = max(0.0, now - max(attempt.started_at, attempt.saved_at))
     victim = Victim(
         (job.job_id, unit.key),
-        size * lost * sum(counts.values()),
+        size * lost * sum(counts.values()) + penalty,
         {name: (shape, count) for name, count in counts.items()},
     )
     market.victims[victim.key] = victim
@@ -169,11 +203,7 @@
     Bid or None
         None when even the whole market has no room for all tasks.
     """
-    allowed = [
-        room
-        for room in rooms.by_name.values()
-        if not step.required_label or step.required_label in room.labels
-    ]
+    allowed = list_allowed(rooms, step)
     bids = [
         fill_bid(group, market, step, count, placed)
         for group in list_groups(allowed, step, count)
--- a/src/cardamomdyke/planner/progress.py
+++ b/src/cardamomdyke/planner/progress.py
@@ -17,6 +17,7 @@
 from cardamomdyke.planner.actions import SendStart
 from cardamomdyke.planner.attempts import abort_attempt, cancel_job, end_job
 from cardamomdyke.planner.leases import find_unread_lapse
+from cardamomdyke.planner.occurrences import open_next, open_occurrences
 from cardamomdyke.planner.state import (
     Attempt,
     Job,
@@ -26,7 +27,6 @@
     Server,
     Unit,
     UnitKey,
-    make_units,
 )
 
 
@@ -70,7 +70,11 @@
     units = tuple(
         describe_unit(unit, unix_offset) for unit in job.units.values() if unit.last_run
     )
-    return JobProgress(phase, job.begun, job.ended_at, units)
+    closed_below = 0
+    while closed_below in job.closed:
+        closed_below += 1
+    later = tuple(sorted(item for item in job.closed if item > closed_below))
+    return JobProgress(phase, job.begun, job.ended_at, units, closed_below, later)
 
 
 def describe_unit(unit: Unit, unix_offset: float) -> UnitRecord:
@@ -171,7 +175,8 @@
     if record.job_id in state.known_jobs:
         return
     state.known_jobs.add(record.job_id)
-    state.jobs[record.job_id] = Job(record, now, make_units(record))
+    job = state.jobs[record.job_id] = Job(record, now)
+    open_occurrences(state, job, now)
 
 
 def restore_jobs(state: PlannerState, ledger: Ledger, now: float) -> None:
@@ -192,13 +197,13 @@
         if progress is not None and check_over(progress):
             continue
         waited = max(0.0, now + state.unix_offset - record.accepted_at)
-        job = Job(record, now - waited, make_units(record))
-        state.jobs[job_id] = job
+        job = state.jobs[job_id] = Job(record, now - waited)
         if progress is not None:
             restore_progress(state, job, progress, now)
+        open_occurrences(state, job, now)
         if job_id in ledger.cancelled and not job.over:
             cancel_job(state, job_id, now)
-        elif not job.over and all(unit.done for unit in job.units.values()):
+        elif not job.over and job.all_done:
             end_job(state, job, JobPhase.COMPLETED, "every task is done", now)
 
 
@@ -215,6 +220,12 @@
     job.phase = progress.phase
     job.begun = progress.begun
     job.ended_at = progress.ended_at
+    job.closed = {*range(progress.closed_below), *progress.closed}
+    # A former planner's clock may have been ahead of this one's, so what it has
+    # opened stays open.
+    latest = max((record.occurrence for record in progress.units), default=-1)
+    while job.next_occurrence <= max(latest, max(job.closed, default=-1)):
+        open_next(job)
     for record in progress.units:
         unit = job.units.get((record.occurrence, record.step, record.index))
         if unit is None:
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -135,6 +135,8 @@
         Servers on which it failed or could not be started.
     not_before : float
         Time before which it is not tried again.
+    ready_since : float
+        Since when it waits for nothing but room; 0 while it does not.
     claimed : tuple of str
         Servers, one for each task, whose room is being freed for it.
     """
@@ -147,6 +149,7 @@
     attempt: Attempt | None = None
     avoided: set[str] = field(default_factory=set)
     not_before: float = 0.0
+    ready_since: float = 0.0
     claimed: tuple[str, ...] = ()
 
 
@@ -161,7 +164,11 @@
     arrived_at : float
         When the planner learned of it.
     units : dict of UnitKey to Unit
-        Everything that has to be done.
+        Everything that has to be done in the open occurrences.
+    next_occurrence : int
+        First occurrence that has not been opened.
+    closed : set of int
+        Occurrences that are done and of which nothing runs any more.
     phase : JobPhase
         Phase that callers read.
     begun : bool
@@ -172,7 +179,9 @@
 
     record: JobRecord
     arrived_at: float
-    units: dict[UnitKey, Unit]
+    units: dict[UnitKey, Unit] = field(default_factory=dict)
+    next_occurrence: int = 0
+    closed: set[int] = field(default_factory=set)
     phase: JobPhase = JobPhase.QUEUED
     begun: bool = False
     ended_at: float = 0.0
@@ -187,6 +196,12 @@
         """Whether the job has reached its last phase."""
         return self.phase in FINAL_PHASES
 
+    @property
+    def all_done(self) -> bool:
+        """Whether every task of every occurrence is done."""
+        opened = self.next_occurrence >= count_occurrences(self.record)
+        return opened and all(unit.done for unit in self.units.values())
+
     def step_of(self, unit: Unit) -> StepOrder:
         """Return the order of a unit's step."""
         return self.record.order.steps[unit.key[1]]
@@ -267,11 +282,14 @@
         Time that a member of a gang waits for the others.
     stop_seconds : float
         Longest time that a stopped run takes to end.
+    remote_factor : float
+        Slow-down of a task away from its data.
     """
 
     lease_seconds: float
     gang_wait_seconds: float
     stop_seconds: float
+    remote_factor: float = 1.0
 
 
 @dataclass(slots=True)
@@ -329,13 +347,18 @@
         self.changed[job.job_id] = None
 
 
-def make_units(record: JobRecord) -> dict[UnitKey, Unit]:
-    """Return the units of a job, none of them started."""
+def count_occurrences(record: JobRecord) -> int:
+    """Return how often the steps of a job run."""
+    return max(1, record.order.repetitions)
+
+
+def make_units(record: JobRecord, occurrence: int) -> dict[UnitKey, Unit]:
+    """Return the units of one occurrence of a job, none of them started."""
     units: dict[UnitKey, Unit] = {}
     for number, step in enumerate(record.order.steps):
         indices = [GANG] if step.gang else range(step.count)
         for index in indices:
-            key = (0, number, index)
+            key = (occurrence, number, index)
             units[key] = Unit(key)
     return units
 
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -81,6 +81,18 @@
     assert world.violations == []
 
 
+def test_job_of_an_unknown_account_without_accelerators_runs() -> None:
+    """Guards against a planner that ends on an account that was removed.
+
+    Found by the histories: a job that needs no accelerator seemed covered.
+    """
+    world = make_world(1)
+    steps = [(make_step(1, 0), StepPlan(1.0))]
+    world.submit(JOB, steps, priority=0, account="removed")
+    world.run_for(3.0)
+    assert world.find_phase(JOB) is JobPhase.COMPLETED
+
+
 def test_room_that_is_being_freed_is_kept() -> None:
     """Guards against younger work that takes what was freed for a guaranteed gang."""
     world = make_world(1, guaranteed=8)
