Let a page of the store take as long as a narrow link needs

The newly elected planner, VM kortrijk-10, logged no planner.took_over: each read of the newest records was given up after 0.8 s with 440 of 502 KB received, and then tried again from its beginning. The smaller VMs of that site have links of 5 Mbit/s. Ruled out: the store (it answered joins within 0.25 s) and the processor (0.16 of a core).

Change: a page of newest records is given up after 1 s without any byte and after 6 s in all, and reads of records ask for at most 256 KB. The time of a page no longer counts as the store's pace.

--- a/src/cardamomdyke/platform/store.py
+++ b/src/cardamomdyke/platform/store.py
@@ -26,6 +26,12 @@
 READ_BOUNDS = Layout(">QQ")
 LONGEST_KEY_BYTES = 255
 CALL_TIMEOUT_SECONDS = 0.8
+# A page of newest records has up to 1 MB, which takes 1.7 s on a link of 5 Mbit/s.
+# A connection that brings nothing for this long is given up, whatever its page.
+PAGE_PROGRESS_SECONDS = 1
+PAGE_TIMEOUT_SECONDS = 6.0
+# The most that one read of records brings; 0.4 s on a link of 5 Mbit/s.
+READ_LIMIT_KILOBYTES = 256
 # Beyond the time that a long poll asks the store to wait.
 POLL_MARGIN_SECONDS = 0.8
 
@@ -203,10 +209,10 @@
     answered_at: float = 0.0
     answer_seconds: float = 0.0
 
-    def note_answer(self, seconds: float, polled: bool) -> None:
+    def note_answer(self, seconds: float, paced: bool) -> None:
         """Take an answer into account; a long poll tells nothing of the pace."""
         self.answered_at = self.clock()
-        if not polled:
+        if paced:
             self.answer_seconds += PACE_WEIGHT * (seconds - self.answer_seconds)
 
 
@@ -286,6 +292,7 @@
             "part": 0,
             "from": offset,
             "wait_ms": round(wait_seconds * 1000),
+            "max_kb": READ_LIMIT_KILOBYTES,
         }
         timeout = wait_seconds + (
             POLL_MARGIN_SECONDS if wait_seconds else CALL_TIMEOUT_SECONDS
@@ -315,7 +322,14 @@
         query: dict[str, str | int] = {"topic": topic, "part": 0}
         if after:
             query["after"] = after
-        result = await self._call("GET", "/log-newest", query, None)
+        result = await self._call(
+            "GET",
+            "/log-newest",
+            query,
+            None,
+            PAGE_TIMEOUT_SECONDS,
+            PAGE_PROGRESS_SECONDS,
+        )
         if result.is_error():
             return Error(result.error)
         try:
@@ -391,14 +405,20 @@
         query: dict[str, str | int],
         body: bytes | None,
         timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+        progress_timeout_seconds: int = 0,
     ) -> Result[HTTPResponse, StoreFault]:
         url = f"http://{self.address}{path}"
         if query:
             url = f"{url}?{urlencode(query)}"
         began = self.contact.clock()
-        result = await send_call(
-            self.http, HttpCall(method, url, body=body, timeout_seconds=timeout_seconds)
+        call = HttpCall(
+            method,
+            url,
+            body=body,
+            timeout_seconds=timeout_seconds,
+            progress_timeout_seconds=progress_timeout_seconds,
         )
+        result = await send_call(self.http, call)
         seconds = self.contact.clock() - began
         self.contact.observe(path, seconds)
         if result.is_error():
@@ -408,7 +428,9 @@
             return Error(StoreFault(kind, fault.detail))
         response = result.ok
         if response.code < 500 and response.code != 429:
-            self.contact.note_answer(seconds, polled="wait_ms" in query)
+            # The time of a page depends on its size.
+            paced = "wait_ms" not in query and not progress_timeout_seconds
+            self.contact.note_answer(seconds, paced)
         if response.code == 200:
             return Ok(response)
         return Error(_sort_refusal(response.code, response.body or b""))
