Drop the restarts of runs that stand still

Every stall that was found was a real one, but what a restart throws away costs as much as the wait.

--- a/src/cardamomdyke/planner/contacts.py
+++ b/src/cardamomdyke/planner/contacts.py
@@ -244,9 +244,6 @@
         unit.checkpoint = report.checkpoint
         if unit.attempt is not None:
             unit.attempt.saved_at = now
-    if report.percent > member.percent:
-        member.percent = report.percent
-        member.progressed_at = now
     confirm_member(state, job, unit, member, server, now)
 
 
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -15,7 +15,6 @@
 from cardamomdyke.planner.occurrences import update_occurrences
 from cardamomdyke.planner.placement import Rooms, holds_all, take_room
 from cardamomdyke.planner.seeking import count_placed, find_unit_places
-from cardamomdyke.planner.stalls import restart_stalled
 from cardamomdyke.planner.state import (
     Job,
     PlannerState,
@@ -41,7 +40,6 @@
         Seconds of the loop's clock.
     """
     update_occurrences(state, now)
-    restart_stalled(state, now)
     draft = Draft(state, now)
     waiting = [job for job in state.jobs.values() if not job.over]
     draft.guaranteed = find_guaranteed(state, waiting)
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -63,10 +63,6 @@
         When the server confirmed the stop; 0 for not yet.
     end : EndKind or None
         How the run ended; None when it is not known or it never ran.
-    percent : float
-        Progress that its server last told; -1 before.
-    progressed_at : float
-        When the progress was first told.
     """
 
     index: int
@@ -81,8 +77,6 @@
     stop_sent_at: float = 0.0
     stop_confirmed_at: float = 0.0
     end: EndKind | None = None
-    percent: float = -1.0
-    progressed_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -141,8 +135,6 @@
         Servers on which it failed or could not be started.
     failed_on : set of str
         Servers on which it failed.
-    stalls : int
-        How often it was stopped because it stood still.
     not_before : float
         Time before which it is not tried again.
     ready_since : float
@@ -159,7 +151,6 @@
     attempt: Attempt | None = None
     avoided: set[str] = field(default_factory=set)
     failed_on: set[str] = field(default_factory=set)
-    stalls: int = 0
     not_before: float = 0.0
     ready_since: float = 0.0
     claimed: tuple[str, ...] = ()
--- a/src/cardamomdyke/planner/suspicion.py
+++ b/src/cardamomdyke/planner/suspicion.py
@@ -38,35 +38,6 @@
     unit.failed_on.add(server.entry.name)
     if len(unit.failed_on) >= SERVERS_TO_BLAME_UNIT and not server.blamed_by:
         return
-    blame_server(state, server, job, now)
-
-
-def note_stall(
-    state: PlannerState, server: Server, job: Job, alone: bool, now: float
-) -> None:
-    """Suspect a server on which a run stands still.
-
-    Parameters
-    ----------
-    state : PlannerState
-        Changed in place.
-    server : Server
-        One of the servers of the run.
-    job : Job
-        The run's job.
-    alone : bool
-        True when the run is on no other server, which could be the cause.
-    now : float
-        Seconds of the loop's clock.
-    """
-    if alone:
-        blame_server(state, server, job, now)
-    else:
-        server.suspect_until = max(server.suspect_until, now + SUSPECT_SECONDS)
-
-
-def blame_server(state: PlannerState, server: Server, job: Job, now: float) -> None:
-    """Suspect a server, and suspend it once several jobs had trouble there."""
     server.blamed_by.add(job.job_id)
     server.suspect_until = max(server.suspect_until, now + SUSPECT_SECONDS)
     if len(server.blamed_by) < JOBS_TO_SUSPEND or not may_suspend(state, server, now):
