Let the most powerful VM of each failure domain stand by to plan

Change: daemons announce the power of their VM, and each works out from that who stands by: one VM of each failure domain, three at the least. The planner shows itself in the jobs' topic each 0.8 s; without a sign for 2.6 s, counted from when the daemon can read the topic again, the next group of daemons joins. A daemon that does not plan pauses 0.1 s between reads, and a question about a running job waits up to 0.2 s (0.1 s before). Joining and leaving those that may plan is logged.

--- a/src/cardamomdyke/control/app.py
+++ b/src/cardamomdyke/control/app.py
@@ -8,6 +8,7 @@
 
 from cardamomdyke.adapters.http import make_http_client
 from cardamomdyke.control.appends import Appender
+from cardamomdyke.control.candidacy import make_candidacy
 from cardamomdyke.control.clock import read_clock, read_unix_time
 from cardamomdyke.control.context import Context, OperatorState
 from cardamomdyke.control.desk import Desk
@@ -31,6 +32,7 @@
 from cardamomdyke.jobs.retention import make_retention
 from cardamomdyke.membership.peers import (
     PEER_PREFIX,
+    SIGN_KEY,
     Peer,
     decode_peer,
     encode_peer,
@@ -97,12 +99,17 @@
     )
 
 
-def connect_ledger(context: Context, planning: Planning) -> None:
+def connect_ledger(context: Context, planning: Planning, peer: Peer) -> None:
     """Let the feed of jobs keep the ledger, the peers and the planner current."""
 
     def apply(record: KeyedRecord) -> None:
+        if record.key == SIGN_KEY:
+            planning.candidacy.note_sign()
+            return
         if record.key.startswith(PEER_PREFIX):
             apply_peer(context, record)
+            if not record.value and record.key == PEER_PREFIX + peer.vm:
+                context.announcement.clear()
             return
         change = apply_record(context.ledger, record.key, record.value)
         if change.detail:
@@ -133,10 +140,14 @@
     context.peers[vm] = result.ok
 
 
-async def announce(context: Context, peer: Peer) -> None:
-    """Tell the other daemons where this one is, once the store is reached."""
+async def announce_forever(context: Context, peer: Peer) -> None:
+    """Tell the other daemons where this one is, again when that was dropped."""
     record = KeyedRecord(PEER_PREFIX + peer.vm, encode_peer(peer))
-    while (await context.store.append_records(WORK_TOPIC, [record])).is_error():
+    while True:
+        if not context.announcement.is_set():
+            result = await context.store.append_records(WORK_TOPIC, [record])
+            if result.is_ok():
+                context.announcement.set()
         await asyncio.sleep(ANNOUNCE_SECONDS)
 
 
@@ -218,12 +229,22 @@
     context = make_context(settings)
     journal = context.journal
     started = round(read_unix_time() * 1000)
-    leadership = Leadership(context.store, journal, f"{settings.vm}.{started}")
-    planning = Planning(context, leadership)
-    connect_ledger(context, planning)
+    candidacy = make_candidacy(context)
+    leadership = Leadership(
+        context.store,
+        journal,
+        f"{settings.vm}.{started}",
+        stands=candidacy.check_standing,
+    )
+    planning = Planning(context, leadership, candidacy)
+    peer = Peer(
+        settings.vm,
+        f"{settings.host}:{settings.peer_port}",
+        settings.failure_domain,
+        settings.power,
+    )
+    connect_ledger(context, planning, peer)
     reloader = Reloader(path, settings, journal, context.take_settings)
-    address = f"{settings.host}:{settings.peer_port}"
-    peer = Peer(settings.vm, address, settings.failure_domain)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, reloader.ask)
@@ -238,7 +259,7 @@
         for coroutine in (
             make_operator_feed(context).follow_forever(),
             context.work.follow_forever(),
-            announce(context, peer),
+            announce_forever(context, peer),
             planning.run_forever(),
             reloader.watch_forever(),
             context.unix_clock.take_readings_forever(),
--- a/src/cardamomdyke/control/context.py
+++ b/src/cardamomdyke/control/context.py
@@ -24,6 +24,10 @@
     read_evacuated_domain,
 )
 
+# The store is asked each 0.2 s whether this daemon may plan. Without an answer to
+# anything for this long, nothing more is sent that could not be taken back.
+CONTACT_SECONDS = 0.7
+
 
 @dataclass
 class OperatorState:
@@ -165,6 +169,8 @@
         Set, and replaced by a new one, when the ledger has changed.
     unix_clock : UnixClock
         Time of day without jumps.
+    announcement : asyncio.Event
+        Set while the store holds what this daemon announces of itself.
     stopping : bool
         True once the daemon has been told to stop.
     """
@@ -182,6 +188,7 @@
     peers: dict[str, Peer] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     unix_clock: UnixClock = field(default_factory=make_unix_clock)
+    announcement: asyncio.Event = field(default_factory=asyncio.Event)
     stopping: bool = False
 
     def announce_change(self) -> None:
@@ -192,3 +199,9 @@
     def take_settings(self, settings: NodeSettings) -> None:
         """Take over settings that were read again."""
         self.settings = settings
+
+
+def check_contact(context: Context, seconds: float = CONTACT_SECONDS) -> bool:
+    """Tell whether the store answered a short time ago."""
+    contact = context.store.contact
+    return contact.clock() - contact.answered_at <= seconds
--- a/src/cardamomdyke/control/desk.py
+++ b/src/cardamomdyke/control/desk.py
@@ -9,7 +9,7 @@
 from expression import Error, Ok, Result
 
 from cardamomdyke.control.clock import read_clock
-from cardamomdyke.control.context import Context
+from cardamomdyke.control.context import Context, check_contact
 from cardamomdyke.jobs.admission import check_job_id, check_order, find_unserved
 from cardamomdyke.jobs.ledger import count_waiting, find_phase
 from cardamomdyke.jobs.records import (
@@ -31,12 +31,9 @@
 
 # A caller that was refused because of a fault may come back after this long.
 RETRY_AFTER_SECONDS = 1
-# The store is asked each 0.2 s whether this daemon may plan. Without an answer to
-# anything for this long, nothing more is sent that could not be taken back.
-CONTACT_SECONDS = 0.7
 # A question about a running job waits this long for its end. Callers tend to ask
-# when they expect it; an end takes about 40 ms to reach every daemon.
-STATE_WAIT_SECONDS = 0.1
+# when they expect it, and an end takes up to 0.15 s to reach every daemon.
+STATE_WAIT_SECONDS = 0.2
 CANCELLATION_VALUE = b"1"
 
 
@@ -295,11 +292,6 @@
     )
 
 
-def check_contact(context: Context, seconds: float = CONTACT_SECONDS) -> bool:
-    """Tell whether the store answered a short time ago."""
-    return read_clock() - context.store.contact.answered_at <= seconds
-
-
 @dataclass
 class Desk:
     """Serves requests from the ledger and the store.
--- a/src/cardamomdyke/control/driver.py
+++ b/src/cardamomdyke/control/driver.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
+from cardamomdyke.control.candidacy import SIGN_PERIOD_SECONDS, Candidacy
 from cardamomdyke.control.clock import read_clock
 from cardamomdyke.control.context import (
     Context,
@@ -16,18 +17,16 @@
 from cardamomdyke.jobs.ledger import Change, ChangeKind
 from cardamomdyke.jobs.records import PROGRESS_PREFIX, encode_progress
 from cardamomdyke.jobs.retention import list_keys
+from cardamomdyke.membership.peers import PEER_PREFIX, SIGN_KEY
 from cardamomdyke.model.orders import TaskId
 from cardamomdyke.model.servers import CallFault
 from cardamomdyke.planner.actions import Action, Note, SendStart, SendStop
 from cardamomdyke.planner.attempts import cancel_job
 from cardamomdyke.planner.contacts import (
     describe_look,
-    describe_start,
     let_time_pass,
     note_look,
     note_look_fault,
-    note_start,
-    note_stop,
     update_servers,
 )
 from cardamomdyke.planner.occurrences import find_next_due
@@ -39,6 +38,7 @@
     restore_jobs,
     take_batch,
 )
+from cardamomdyke.planner.replies import describe_start, note_start, note_stop
 from cardamomdyke.planner.state import (
     Limits,
     PlannerState,
@@ -59,6 +59,9 @@
 # The list of backend servers changes with every heartbeat, so it is read in
 # intervals. A server that leaves must get nothing new after 2 s.
 SERVER_LIST_SECONDS = 0.3
+# Each append ends the long poll of every daemon, and each poll is priced. A daemon
+# that does not plan waits this long, so that several records come in one poll.
+FOLLOWER_PAUSE_SECONDS = 0.1
 # Connections for orders to one backend server; each new one is priced.
 ORDERS_AT_ONCE = 3
 
@@ -81,6 +84,10 @@
         Backend servers that the store lists.
     state : PlannerState
         Everything that the planner knows.
+    lost_peers : list of str
+        VMs whose announcements are to be dropped.
+    sign_at : float
+        When this planner last showed itself in the store.
     """
 
     context: Context
@@ -89,6 +96,8 @@
     client: ServerClient
     directory: ServerDirectory
     state: PlannerState
+    lost_peers: list[str] = field(default_factory=list)
+    sign_at: float = 0.0
     dirty: asyncio.Event = field(default_factory=asyncio.Event)
     recorded: asyncio.Event = field(default_factory=asyncio.Event)
     wakes: dict[str, asyncio.Event] = field(default_factory=dict)
@@ -319,11 +328,22 @@
         if self.recording:
             return
         batch = take_batch(self.state)
-        removals = self.list_removals()
-        if batch is None and not removals:
+        others = [*self.list_removals(), *self.list_signs()]
+        if batch is None and not others:
             return
         self.recording = True
-        self.spawn(self.record_batch(batch or Batch({}, (), {}), removals))
+        self.spawn(self.record_batch(batch or Batch({}, (), {}), others))
+
+    def list_signs(self) -> list[KeyedRecord]:
+        """Return the sign that this daemon plans, when it is due."""
+        now = read_clock()
+        if now - self.sign_at < SIGN_PERIOD_SECONDS:
+            return []
+        self.sign_at = now
+        sign = KeyedRecord(SIGN_KEY, str(self.state.fence).encode())
+        dropped = [KeyedRecord(PEER_PREFIX + vm, b"") for vm in self.lost_peers]
+        self.lost_peers.clear()
+        return [sign, *dropped]
 
     def list_removals(self) -> list[KeyedRecord]:
         """Return records that drop jobs that ended long ago."""
@@ -339,13 +359,13 @@
             for key in list_keys(ledger, job_id)
         ]
 
-    async def record_batch(self, batch: Batch, removals: list[KeyedRecord]) -> None:
+    async def record_batch(self, batch: Batch, others: list[KeyedRecord]) -> None:
         """Append one batch and do what follows from it."""
         records = [
             KeyedRecord(PROGRESS_PREFIX + job_id, encode_progress(progress))
             for job_id, progress in batch.progress.items()
         ]
-        records += removals
+        records += others
         stored = await self.recorder.record(records) if records else True
         self.recording = False
         if not stored:
@@ -365,7 +385,9 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
 
-async def begin_term(context: Context, leadership: Leadership) -> Term | None:
+async def begin_term(
+    context: Context, leadership: Leadership, candidacy: Candidacy
+) -> Term | None:
     """Take over from an earlier planner; None when the right is lost meanwhile."""
     fence = leadership.term
     recorder = Recorder(
@@ -408,7 +430,8 @@
         servers=len(state.servers),
     )
     client = ServerClient(context.http)
-    term = Term(context, leadership, recorder, client, directory, state)
+    lost = candidacy.list_lost()
+    term = Term(context, leadership, recorder, client, directory, state, lost)
     term.spawn(feed.follow_forever())
     return term
 
@@ -423,22 +446,27 @@
         Shared parts of the daemon.
     leadership : Leadership
         The right to plan.
+    candidacy : Candidacy
+        Who else stands by to plan.
     term : Term or None
         The current term.
     """
 
     context: Context
     leadership: Leadership
+    candidacy: Candidacy
     term: Term | None = None
 
     async def run_forever(self) -> None:
         """Plan in terms, until cancelled."""
+        feed = self.context.work
         while True:
+            feed.pause_seconds = 0.0 if self.leadership.term else FOLLOWER_PAUSE_SECONDS
             if not self.leadership.term:
                 self.leadership.changed.clear()
                 await self.leadership.changed.wait()
                 continue
-            self.term = await begin_term(self.context, self.leadership)
+            self.term = await begin_term(self.context, self.leadership, self.candidacy)
             if self.term is None:
                 continue
             try:
--- a/src/cardamomdyke/control/feeds.py
+++ b/src/cardamomdyke/control/feeds.py
@@ -48,6 +48,8 @@
         True when the last page reached the end of the topic.
     failing_since : float
         When reads began to fail; 0 while they succeed.
+    regained_at : float
+        When reads last succeeded again after a failure; 0 for never.
     """
 
     store: StoreClient
@@ -60,6 +62,7 @@
     pause_seconds: float = 0.0
     next_offset: int | None = None
     failing_since: float = 0.0
+    regained_at: float = 0.0
     at_end: bool = False
     syncing: asyncio.Lock = field(default_factory=asyncio.Lock)
 
@@ -146,6 +149,7 @@
     def note_success(self) -> None:
         """Remember that a read succeeded."""
         if self.failing_since:
+            self.regained_at = read_clock()
             silent = round(read_clock() - self.failing_since, 3)
             self.journal.write("feed.regained", self.topic, silent=silent)
         self.failing_since = 0.0
--- a/src/cardamomdyke/control/ingress.py
+++ b/src/cardamomdyke/control/ingress.py
@@ -3,8 +3,8 @@
 from tornado.web import Application, RequestHandler
 
 from cardamomdyke.control.clock import read_clock
-from cardamomdyke.control.context import Context
-from cardamomdyke.control.desk import CallerRequest, check_contact
+from cardamomdyke.control.context import Context, check_contact
+from cardamomdyke.control.desk import CallerRequest
 from cardamomdyke.control.relay import Reception
 from cardamomdyke.platform.submissions import KEY_HEADER, READINESS_PATH
 from cardamomdyke.protocol.progress import CountedHandler, Progress
--- a/src/cardamomdyke/control/leadership.py
+++ b/src/cardamomdyke/control/leadership.py
@@ -45,6 +45,10 @@
         Time until which this daemon may give orders.
     changed : asyncio.Event
         Set when a term begins or ends.
+    stands : callable
+        Tells whether this daemon stands by to plan.
+    member_of_group : bool
+        True when the store may count this daemon as a member.
     """
 
     store: StoreClient
@@ -55,6 +59,8 @@
     term: int = 0
     right_until: float = 0.0
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    stands: Callable[[], bool] = lambda: True
+    member_of_group: bool = False
     clock: Callable[[], float] = read_clock
 
     @property
@@ -65,6 +71,13 @@
     async def join_forever(self) -> None:
         """Stay in the group, until cancelled."""
         while True:
+            if not self.term and not self.stands():
+                await self.stand_down()
+                await asyncio.sleep(JOIN_PERIOD_SECONDS)
+                continue
+            if not self.member_of_group:
+                self.member_of_group = True
+                self.journal.write("planner.stands_by", self.member)
             sent_at = self.clock()
             result = await self.store.join_group(
                 GROUP,
@@ -81,6 +94,17 @@
             spent = self.clock() - sent_at
             await asyncio.sleep(max(0.0, JOIN_PERIOD_SECONDS - spent))
 
+    async def stand_down(self) -> None:
+        """Leave the group while others stand by to plan."""
+        if not self.member_of_group:
+            return
+        self.member_of_group = False
+        self.journal.write("planner.stands_down", self.member)
+        result = await self.store.leave_group(GROUP, self.member)
+        if result.is_error():
+            # The store drops a silent member after its time to live.
+            self.journal.count("group.leave_failed")
+
     def note_joined(self, membership: Membership, sent_at: float) -> None:
         """Begin, keep or end a term, as the store's answer says."""
         lapsed = self.clock() >= self.right_until
@@ -112,6 +136,8 @@
     async def leave(self) -> None:
         """Leave the group, so that another daemon plans at once."""
         self.end_term("this daemon shuts down")
+        if not self.member_of_group:
+            return
         result = await self.store.leave_group(GROUP, self.member)
         if result.is_error():
             self.journal.write(
--- a/src/cardamomdyke/control/relay.py
+++ b/src/cardamomdyke/control/relay.py
@@ -8,14 +8,13 @@
 
 from cardamomdyke.adapters.http import TransportFault, TransportFaultKind
 from cardamomdyke.control.clock import read_clock
-from cardamomdyke.control.context import Context
+from cardamomdyke.control.context import Context, check_contact
 from cardamomdyke.control.desk import (
     NOT_KNOWN,
     NOT_REACHED,
     CallerAnswer,
     CallerRequest,
     Desk,
-    check_contact,
     make_answer,
 )
 from cardamomdyke.protocol.client import PeerClient
--- a/src/cardamomdyke/membership/peers.py
+++ b/src/cardamomdyke/membership/peers.py
@@ -7,6 +7,8 @@
 from msgspec.json import Decoder, encode
 
 PEER_PREFIX = "d"
+# Key by which the daemon that plans shows that it does.
+SIGN_KEY = "t"
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,11 +23,14 @@
         ``host:port`` for the other daemons.
     failure_domain : str
         Failure domain that it is in.
+    power : float
+        Processor of its VM, in cores of usual speed.
     """
 
     vm: str
     address: str
     failure_domain: str
+    power: float = 0.0
 
 
 _DECODER = Decoder(Peer)
--- a/src/cardamomdyke/platform/settings.py
+++ b/src/cardamomdyke/platform/settings.py
@@ -102,6 +102,8 @@
         The platform's store.
     bounds : Bounds
         Times promised or asked for.
+    power : float
+        Processor of this VM, in cores of usual speed.
     """
 
     vm: str
@@ -114,6 +116,7 @@
     last_peer_port: int
     store: StoreSettings
     bounds: Bounds
+    power: float = 1.0
 
 
 class _Listen(Struct):
@@ -142,6 +145,12 @@
     min_ttl_ms: float
 
 
+class _Limits(Struct):
+    # "cores" is the speed of the core that the share is taken of.
+    processor_share: float = 1.0
+    cores: float = 1.0
+
+
 class _Settings(Struct):
     node_name: str
     ip_address: str
@@ -151,6 +160,7 @@
     internal_port_range: tuple[int, int]
     bounds: _Bounds
     platform: _Store
+    limits: _Limits = field(default_factory=_Limits)
 
 
 _DECODER = Decoder(_Settings)
@@ -191,6 +201,7 @@
                 shortest_membership_seconds=wire.platform.min_ttl_ms / MILLISECONDS,
             ),
             bounds=_convert_bounds(wire.bounds),
+            power=wire.limits.processor_share * wire.limits.cores,
         )
     )
 
--- a/tests/control/parts.py
+++ b/tests/control/parts.py
@@ -66,6 +66,8 @@
     context: Context | None = None
     applied: int = 0
     next_offset: int | None = 0
+    failing_since: float = 0.0
+    regained_at: float = 0.0
 
     async def catch_up(self) -> bool:
         assert self.context is not None
--- a/tests/control/test_desk.py
+++ b/tests/control/test_desk.py
@@ -6,7 +6,8 @@
 from msgspec.json import decode, encode
 
 from cardamomdyke.control.clock import read_clock
-from cardamomdyke.control.desk import CONTACT_SECONDS, Desk
+from cardamomdyke.control.context import CONTACT_SECONDS
+from cardamomdyke.control.desk import Desk
 from cardamomdyke.jobs.records import (
     PROGRESS_PREFIX,
     JobPhase,
