Split the store's records from its client, and drop settings that nothing reads

Change: platform/records.py holds records, their encoding and the meaning of failed calls. Only the settings that are used are read.

--- a/src/cardamomdyke/control/app.py
+++ b/src/cardamomdyke/control/app.py
@@ -37,11 +37,11 @@
     decode_peer,
     encode_peer,
 )
+from cardamomdyke.platform.records import KeyedRecord
 from cardamomdyke.platform.settings import NodeSettings
 from cardamomdyke.platform.store import (
     OPERATOR_TOPIC,
     WORK_TOPIC,
-    KeyedRecord,
     StoreClient,
     StoreContact,
 )
--- a/src/cardamomdyke/control/appends.py
+++ b/src/cardamomdyke/control/appends.py
@@ -5,7 +5,8 @@
 
 from expression import Result
 
-from cardamomdyke.platform.store import WORK_TOPIC, KeyedRecord, StoreClient, StoreFault
+from cardamomdyke.platform.records import KeyedRecord, StoreFault
+from cardamomdyke.platform.store import WORK_TOPIC, StoreClient
 
 # A slow store answers an append after up to 2 s and refuses more beyond that; a
 # caller waits for 3 s.
--- a/src/cardamomdyke/control/context.py
+++ b/src/cardamomdyke/control/context.py
@@ -15,9 +15,10 @@
 from cardamomdyke.membership.peers import Peer
 from cardamomdyke.model.queues import QueueTables
 from cardamomdyke.model.servers import ServerEntry
+from cardamomdyke.platform.records import KeyedRecord
 from cardamomdyke.platform.servers import decode_entry
 from cardamomdyke.platform.settings import NodeSettings
-from cardamomdyke.platform.store import SERVERS_TOPIC, KeyedRecord, StoreClient
+from cardamomdyke.platform.store import SERVERS_TOPIC, StoreClient
 from cardamomdyke.platform.tables import (
     TABLES_KEY,
     decode_tables,
--- a/src/cardamomdyke/control/desk.py
+++ b/src/cardamomdyke/control/desk.py
@@ -21,7 +21,7 @@
     encode_job,
 )
 from cardamomdyke.model.queues import Account, QueueRoute, QueueTables, find_route
-from cardamomdyke.platform.store import KeyedRecord, StoreFaultKind
+from cardamomdyke.platform.records import KeyedRecord, StoreFaultKind
 from cardamomdyke.platform.submissions import (
     decode_submission,
     encode_refusal,
--- a/src/cardamomdyke/control/driver.py
+++ b/src/cardamomdyke/control/driver.py
@@ -45,8 +45,8 @@
     Server,
     find_checkpoint,
 )
+from cardamomdyke.platform.records import KeyedRecord
 from cardamomdyke.platform.servers import ServerClient, StartOrder
-from cardamomdyke.platform.store import KeyedRecord
 
 # Several answers that come together lead to one decision and one append.
 GATHER_SECONDS = 0.01
--- a/src/cardamomdyke/control/feeds.py
+++ b/src/cardamomdyke/control/feeds.py
@@ -6,14 +6,13 @@
 
 from cardamomdyke.control.clock import read_clock
 from cardamomdyke.control.journal import Journal
-from cardamomdyke.platform.store import (
+from cardamomdyke.platform.records import (
     KeyedRecord,
-    NewestPage,
     RecordPage,
-    StoreClient,
     StoreFault,
     StoreFaultKind,
 )
+from cardamomdyke.platform.store import NewestPage, StoreClient
 
 # Pause after a failed read. Short against the 1 s after which a daemon that
 # cannot read reports that it is not ready.
--- a/src/cardamomdyke/control/recorder.py
+++ b/src/cardamomdyke/control/recorder.py
@@ -5,14 +5,8 @@
 from dataclasses import dataclass
 
 from cardamomdyke.control.journal import Journal
-from cardamomdyke.platform.store import (
-    WORK_TOPIC,
-    KeyedRecord,
-    Producer,
-    StoreClient,
-    StoreFault,
-    StoreFaultKind,
-)
+from cardamomdyke.platform.records import KeyedRecord, StoreFault, StoreFaultKind
+from cardamomdyke.platform.store import WORK_TOPIC, Producer, StoreClient
 
 PRODUCER = "planner"
 RETRY_SECONDS = 0.1
--- a/src/cardamomdyke/jobs/admission.py
+++ b/src/cardamomdyke/jobs/admission.py
@@ -8,9 +8,9 @@
 
 JOB_ID = re.compile(r"[0-9a-f]{16}", re.ASCII)
 LONGEST_SPECIFICATION_BYTES = 4000
-# A job's record has to fit into one record of the store with room to spare, and
-# its progress names each task.
-MOST_TASKS = 5000
+# The progress of a job is one record of the store, 256 KB at most, with about 65
+# bytes for each task.
+MOST_TASKS = 3000
 
 
 def check_job_id(job_id: str) -> bool:
--- a/src/cardamomdyke/platform/settings.py
+++ b/src/cardamomdyke/platform/settings.py
@@ -1,7 +1,6 @@
 """Decodes the settings file that the platform writes for each process."""
 
 from dataclasses import dataclass
-from typing import Any
 
 from expression import Error, Ok, Result
 from msgspec import DecodeError, Struct, ValidationError, field
@@ -22,18 +21,12 @@
     ----------
     address : str
         ``host:port``.
-    record_limit_bytes : int
-        Largest record.
     append_limit_bytes : int
         Largest sum of the records of one append.
-    shortest_membership_seconds : float
-        Shortest time to live of a member of a group.
     """
 
     address: str
-    record_limit_bytes: int
     append_limit_bytes: int
-    shortest_membership_seconds: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,16 +45,8 @@
         Time from SIGTERM to SIGKILL.
     status_seconds : float
         Time that the state of an ended job stays readable.
-    early_seconds : float
-        Time by which an occurrence may start before it is due.
     remote_factor : float
         Slow-down of a task away from its data or across racks.
-    checkpoint_interval_seconds : float
-        Work between two checkpoints.
-    restore_seconds : float
-        Time that a start from a checkpoint takes.
-    reclaim_seconds : float
-        Time in which guaranteed work has to begin.
     """
 
     lease_limit_seconds: float
@@ -69,11 +54,7 @@
     gang_wait_seconds: float
     shutdown_grace_seconds: float
     status_seconds: float
-    early_seconds: float
     remote_factor: float
-    checkpoint_interval_seconds: float
-    restore_seconds: float
-    reclaim_seconds: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,8 +67,6 @@
         Name of this VM.
     failure_domain : str
         Failure domain that this VM is in.
-    failure_domains : tuple of str
-        All failure domains.
     host : str
         IP address of this VM.
     caller_address : str
@@ -96,8 +75,6 @@
         ``host:port`` to serve the balancer's check on.
     peer_port : int
         First port for the daemons' own use.
-    last_peer_port : int
-        Last port for the daemons' own use.
     store : StoreSettings
         The platform's store.
     bounds : Bounds
@@ -108,12 +85,10 @@
 
     vm: str
     failure_domain: str
-    failure_domains: tuple[str, ...]
     host: str
     caller_address: str
     readiness_address: str
     peer_port: int
-    last_peer_port: int
     store: StoreSettings
     bounds: Bounds
     power: float = 1.0
@@ -131,18 +106,12 @@
     gang_wait_ms: float
     grace_period_s: float
     status_s: float
-    early_ms: float
-    remote_factor: float
-    checkpoint_interval_s: float
-    restore_ms: float
-    reclaim_ms: float = 0.0
+    remote_factor: float = 1.0
 
 
 class _Store(Struct):
     address: str
-    record_bytes: int
     request_bytes: int
-    min_ttl_ms: float
 
 
 class _Limits(Struct):
@@ -155,7 +124,6 @@
     node_name: str
     ip_address: str
     zone: str
-    zones: dict[str, Any]
     listen_addresses: _Listen
     internal_port_range: tuple[int, int]
     bounds: _Bounds
@@ -188,17 +156,13 @@
         NodeSettings(
             vm=wire.node_name,
             failure_domain=wire.zone,
-            failure_domains=tuple(sorted(wire.zones)),
             host=wire.ip_address,
             caller_address=wire.listen_addresses.callers,
             readiness_address=wire.listen_addresses.readiness,
             peer_port=wire.internal_port_range[0],
-            last_peer_port=wire.internal_port_range[1],
             store=StoreSettings(
                 address=wire.platform.address,
-                record_limit_bytes=wire.platform.record_bytes,
                 append_limit_bytes=wire.platform.request_bytes,
-                shortest_membership_seconds=wire.platform.min_ttl_ms / MILLISECONDS,
             ),
             bounds=_convert_bounds(wire.bounds),
             power=wire.limits.processor_share * wire.limits.cores,
@@ -213,9 +177,5 @@
         gang_wait_seconds=wire.gang_wait_ms / MILLISECONDS,
         shutdown_grace_seconds=wire.grace_period_s,
         status_seconds=wire.status_s,
-        early_seconds=wire.early_ms / MILLISECONDS,
         remote_factor=wire.remote_factor,
-        checkpoint_interval_seconds=wire.checkpoint_interval_s,
-        restore_seconds=wire.restore_ms / MILLISECONDS,
-        reclaim_seconds=wire.reclaim_ms / MILLISECONDS,
     )
--- a/src/cardamomdyke/platform/store.py
+++ b/src/cardamomdyke/platform/store.py
@@ -3,8 +3,6 @@
 from base64 import b64decode
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from enum import StrEnum
-from struct import Struct as Layout
 from urllib.parse import urlencode
 
 from expression import Error, Ok, Result
@@ -14,17 +12,20 @@
 from tornado.httpclient import HTTPResponse
 
 from cardamomdyke.adapters.http import HttpCall, TransportFaultKind, send_call
+from cardamomdyke.platform.records import (
+    KeyedRecord,
+    RecordPage,
+    StoreFault,
+    StoreFaultKind,
+    frame_record,
+    split_page,
+)
 
 # The topics that the operator and the backend servers write to.
 OPERATOR_TOPIC = "keyed.op"
 SERVERS_TOPIC = "keyed.servers"
 # The topic of the daemons: jobs, their progress, and the daemons' addresses.
 WORK_TOPIC = "keyed.work"
-# Before each record: its length. Before the records of a read: the end of the
-# partition and its first retained offset.
-RECORD_LENGTH = Layout(">I")
-READ_BOUNDS = Layout(">QQ")
-LONGEST_KEY_BYTES = 255
 CALL_TIMEOUT_SECONDS = 0.8
 # A page of newest records has up to 1 MB, which takes 1.7 s on a link of 5 Mbit/s.
 # A connection that brings nothing for this long is given up, whatever its page.
@@ -36,52 +37,6 @@
 POLL_MARGIN_SECONDS = 0.8
 
 
-class StoreFaultKind(StrEnum):
-    """What a failed call of the store means."""
-
-    NOT_DONE = "not_done"
-    UNCERTAIN = "uncertain"
-    FENCED = "fenced"
-    OUT_OF_SEQUENCE = "out_of_sequence"
-    TRIMMED = "trimmed"
-    FULL = "full"
-
-
-@dataclass(frozen=True, slots=True)
-class StoreFault:
-    """A call of the store that failed.
-
-    Attributes
-    ----------
-    kind : StoreFaultKind
-        ``NOT_DONE`` when the call certainly had no effect and never will.
-    detail : str
-        What happened.
-    sequence : int
-        Sequence number that the store expects, for ``OUT_OF_SEQUENCE``.
-    """
-
-    kind: StoreFaultKind
-    detail: str
-    sequence: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class KeyedRecord:
-    """A record of a topic that keeps the newest record of each key.
-
-    Attributes
-    ----------
-    key : str
-        At most 255 bytes.
-    value : bytes
-        Empty to drop the key.
-    """
-
-    key: str
-    value: bytes
-
-
 @dataclass(frozen=True, slots=True)
 class Producer:
     """Who appends, for fencing and for the recognition of repeated appends.
@@ -101,28 +56,6 @@
     sequence: int
 
 
-@dataclass(frozen=True, slots=True)
-class RecordPage:
-    """Records of a partition from an offset on.
-
-    Attributes
-    ----------
-    next_offset : int
-        Offset after the last record of this page.
-    end : int
-        Offset that the next append gets.
-    records : tuple of KeyedRecord
-        In offset order.
-    malformed : int
-        Records whose key cannot be read; they are left out.
-    """
-
-    next_offset: int
-    end: int
-    records: tuple[KeyedRecord, ...]
-    malformed: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class NewestPage:
     """The newest records of some keys, without an order in time.
@@ -264,7 +197,7 @@
             query["producer"] = producer.name
             query["epoch"] = producer.epoch
             query["sequence"] = producer.sequence
-        body = b"".join(_frame_record(record) for record in records)
+        body = b"".join(frame_record(record) for record in records)
         result = await self._call("POST", "/log-append", query, body, timeout_seconds)
         return result.map(lambda response: None)
 
@@ -300,7 +233,7 @@
         result = await self._call("GET", "/log-read", query, None, timeout)
         if result.is_error():
             return Error(result.error)
-        return _split_page(result.ok.body, offset)
+        return split_page(result.ok.body, offset)
 
     async def read_newest(
         self, topic: str, after: str = ""
@@ -436,47 +369,6 @@
         return Error(_sort_refusal(response.code, response.body or b""))
 
 
-def _frame_record(record: KeyedRecord) -> bytes:
-    key = record.key.encode()
-    content = bytes((len(key),)) + key + record.value
-    return RECORD_LENGTH.pack(len(content)) + content
-
-
-def _split_page(data: bytes, offset: int) -> Result[RecordPage, StoreFault]:
-    records: list[KeyedRecord] = []
-    malformed = 0
-    count = 0
-    if len(data) < READ_BOUNDS.size:
-        return Error(StoreFault(StoreFaultKind.UNCERTAIN, "the store's page is cut"))
-    end, _ = READ_BOUNDS.unpack_from(data)
-    position = READ_BOUNDS.size
-    while position + RECORD_LENGTH.size <= len(data):
-        (length,) = RECORD_LENGTH.unpack_from(data, position)
-        position += RECORD_LENGTH.size
-        content = data[position : position + length]
-        if len(content) < length:
-            break
-        position += length
-        count += 1
-        record = _read_record(content)
-        if record is None:
-            malformed += 1
-        else:
-            records.append(record)
-    return Ok(RecordPage(offset + count, end, tuple(records), malformed))
-
-
-def _read_record(content: bytes) -> KeyedRecord | None:
-    if not content:
-        return None
-    size = content[0]
-    try:
-        key = content[1 : 1 + size].decode()
-    except UnicodeDecodeError:
-        return None
-    return KeyedRecord(key, content[1 + size :])
-
-
 def _make_malformed(error: Exception) -> StoreFault:
     detail = f"the store's answer is malformed: {error}"
     return StoreFault(StoreFaultKind.UNCERTAIN, detail)
--- a/src/cardamomdyke/platform/submissions.py
+++ b/src/cardamomdyke/platform/submissions.py
@@ -11,7 +11,6 @@
 KEY_HEADER = "Api-Key"
 # Path of the balancer's check.
 READINESS_PATH = "/readiness"
-LONGEST_SPECIFICATION_BYTES = 4000
 
 
 class _Step(Struct):
--- a/tests/control/parts.py
+++ b/tests/control/parts.py
@@ -21,12 +21,8 @@
     QueueRoute,
     make_queue_tables,
 )
-from cardamomdyke.platform.store import (
-    KeyedRecord,
-    Producer,
-    StoreContact,
-    StoreFault,
-)
+from cardamomdyke.platform.records import KeyedRecord, StoreFault
+from cardamomdyke.platform.store import Producer, StoreContact
 
 KEY = "key"
 HOST = "desk.example"
--- a/tests/control/test_appends.py
+++ b/tests/control/test_appends.py
@@ -11,12 +11,8 @@
 from cardamomdyke.control.appends import GATHER_SECONDS, RECORDS_AT_ONCE, Appender
 from cardamomdyke.control.desk import Desk
 from cardamomdyke.jobs.ledger import apply_record
-from cardamomdyke.platform.store import (
-    KeyedRecord,
-    Producer,
-    StoreFault,
-    StoreFaultKind,
-)
+from cardamomdyke.platform.records import KeyedRecord, StoreFault, StoreFaultKind
+from cardamomdyke.platform.store import Producer
 from tests.control.parts import make_context, make_request
 
 JOB = "00000000000000a1"
--- a/tests/control/test_desk.py
+++ b/tests/control/test_desk.py
@@ -14,7 +14,7 @@
     JobProgress,
     encode_progress,
 )
-from cardamomdyke.platform.store import KeyedRecord, StoreFault, StoreFaultKind
+from cardamomdyke.platform.records import KeyedRecord, StoreFault, StoreFaultKind
 from tests.control.parts import make_desk, make_request
 
 JOB = "00000000000000a1"
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -18,7 +18,7 @@
 from cardamomdyke.model.orders import JobOrder
 from cardamomdyke.planner.progress import add_job
 from cardamomdyke.planner.state import Limits, PlannerState
-from cardamomdyke.platform.store import KeyedRecord
+from cardamomdyke.platform.records import KeyedRecord
 from tests.control.parts import make_context
 
 JOB = "00000000000000a1"
--- a/tests/control/test_reception.py
+++ b/tests/control/test_reception.py
@@ -13,7 +13,7 @@
 from cardamomdyke.control.desk import CallerAnswer, CallerRequest, Desk
 from cardamomdyke.control.relay import PATIENCE_SECONDS, Reception, Relay
 from cardamomdyke.membership.peers import Peer
-from cardamomdyke.platform.store import StoreFault, StoreFaultKind
+from cardamomdyke.platform.records import StoreFault, StoreFaultKind
 from cardamomdyke.protocol.gen.ttypes import RelayCall, RelayReply
 from tests.control.parts import make_context, make_request
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,12 +7,8 @@
 from msgspec.json import encode
 
 from cardamomdyke.adapters.http import make_http_client
-from cardamomdyke.platform.store import (
-    NewestPage,
-    StoreClient,
-    StoreContact,
-    StoreFault,
-)
+from cardamomdyke.platform.records import StoreFault
+from cardamomdyke.platform.store import NewestPage, StoreClient, StoreContact
 from tests.adapters.scripted import make_reply, run_script
 
 RECORDS = 500
