Play seeds from the command line by one function

Cause: the read-through found the loop over seeds twice, in fuzz.py and soak.py, and a comment that overstated how many of the users' tasks fail by their own fault.

--- a/src/cardamomdyke/planner/suspicion.py
+++ b/src/cardamomdyke/planner/suspicion.py
@@ -2,8 +2,8 @@
 
 from cardamomdyke.planner.state import Job, PlannerState, Server, Unit
 
-# After one failed run a server gets new work only where nothing else has room. A
-# tenth of the users' tasks fail by their own fault, so this has to be short.
+# After one failed run a server gets new work only where nothing else has room. Up to
+# 5% of the users' tasks fail by their own fault, so this has to be short.
 SUSPECT_SECONDS = 3.0
 # Jobs that have to fail in turn on a server before it gets nothing at all.
 JOBS_TO_SUSPEND = 2
--- a/src/cardamomdyke_standins/fuzz.py
+++ b/src/cardamomdyke_standins/fuzz.py
@@ -4,8 +4,6 @@
 """
 
 import asyncio
-import sys
-import tempfile
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -21,6 +19,7 @@
 from cardamomdyke_standins.history import Violation
 from cardamomdyke_standins.load import Recorder
 from cardamomdyke_standins.nemesis import Nemesis
+from cardamomdyke_standins.seeds import play_seeds
 
 ROOT = Path(__file__).parents[2]
 CALLERS = 6
@@ -113,13 +112,7 @@
     example : str
         ``federation`` or ``trust``.
     """
-    failed = False
-    for seed in range(first, first + count):
-        directory = Path(tempfile.mkdtemp(prefix=f"cardamomdyke-seed{seed}-"))
-        result = run_seed(seed, directory, example)
-        print(result, f"logs in {directory}", flush=True)
-        failed = failed or bool(result.violations)
-    sys.exit(1 if failed else 0)
+    play_seeds("seed", first, count, lambda seed, at: run_seed(seed, at, example))
 
 
 if __name__ == "__main__":
--- a/src/cardamomdyke_standins/soak.py
+++ b/src/cardamomdyke_standins/soak.py
@@ -7,8 +7,6 @@
 import asyncio
 import random
 import signal
-import sys
-import tempfile
 import time
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
@@ -34,6 +32,7 @@
 from cardamomdyke_standins.platform_server import StepPlan, encode_plan
 from cardamomdyke_standins.relay import Conditions, Cut
 from cardamomdyke_standins.run_history import CallerJob, RunEvent, judge_runs
+from cardamomdyke_standins.seeds import play_seeds
 
 VMS = 3
 SERVERS = 6
@@ -369,13 +368,7 @@
     seconds : float
         How long faults are made with each seed.
     """
-    failed = False
-    for seed in range(first, first + count):
-        directory = Path(tempfile.mkdtemp(prefix=f"cardamomdyke-soak{seed}-"))
-        result = soak_seed(seed, directory, seconds)
-        print(result, f"logs in {directory}", flush=True)
-        failed = failed or bool(result.violations)
-    sys.exit(1 if failed else 0)
+    play_seeds("soak", first, count, lambda seed, at: soak_seed(seed, at, seconds))
 
 
 if __name__ == "__main__":
