Keep what each client account uses within its quota

Change: the quota and the weight of an account are decoded; a planning pass counts all that may still run for an account (stops in progress, unanswered starts, runs that no attempt knows) and starts nothing beyond its quota. An urgent unit that its own account's work keeps out stops that work, and no other.

--- a/src/cardamomdyke/model/queues.py
+++ b/src/cardamomdyke/model/queues.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from cardamomdyke.model.orders import Shape
+
 
 @dataclass(frozen=True, slots=True)
 class QueueRoute:
@@ -64,7 +66,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Account:
-    """A client account and its guarantee.
+    """A client account, its guarantee and its quota.
 
     Attributes
     ----------
@@ -74,11 +76,17 @@
         API keys of its callers.
     guaranteed_accelerators : int
         Number of accelerators always available to its jobs of priority 0.
+    quota : Shape
+        Most that its tasks may use at the same time; 0 of a resource for no limit.
+    weight : float
+        Share of a full pool, relative to the other accounts; 0 for none agreed.
     """
 
     name: str
     keys: frozenset[str]
     guaranteed_accelerators: int = 0
+    quota: Shape = Shape()
+    weight: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cardamomdyke/planner/claims.py
+++ b/src/cardamomdyke/planner/claims.py
@@ -14,7 +14,17 @@
     mark_stopping,
 )
 from cardamomdyke.planner.placement import PoolCapacity, fits_all, take_capacity
-from cardamomdyke.planner.preemption import Requester, find_preemption
+from cardamomdyke.planner.preemption import (
+    Requester,
+    Victim,
+    VictimIndex,
+    find_preemption,
+)
+from cardamomdyke.planner.quotas import (
+    check_allowance,
+    measure_expected_allowance,
+    use_allowance,
+)
 from cardamomdyke.planner.seeking import count_placed
 from cardamomdyke.planner.state import Job, Unit, is_ready, list_indices
 
@@ -26,15 +36,17 @@
         usable = all(name in pool_capacity.by_name for name in unit.reserved_servers)
         if not usable or not is_ready(job, unit, draft.now):
             unit.reserved_servers = ()
-        take_reservation(pool_capacity, job, unit)
+        take_reservation(draft, pool_capacity, job, unit)
 
 
 def take_reservation(
-    pool_capacity: PoolCapacity, job: Job, unit: Unit, count: int = 1
+    draft: Draft, pool_capacity: PoolCapacity, job: Job, unit: Unit, count: int = 1
 ) -> None:
-    """Subtract a unit's reservation from the free capacity; -1 adds it back."""
+    """Subtract a unit's reservation from what is free; -1 adds it back."""
+    shape = job.find_step(unit).shape
     for name in unit.reserved_servers:
-        take_capacity(pool_capacity.by_name[name], job.find_step(unit).shape, count)
+        take_capacity(pool_capacity.by_name[name], shape, count)
+        use_allowance(draft.allowances, job.record.account, shape, count)
 
 
 def release_reservation(
@@ -42,7 +54,7 @@
 ) -> None:
     """Add a unit's reservation back to the free capacity."""
     if unit.reserved_servers:
-        take_reservation(pool_capacity, job, unit, -1)
+        take_reservation(draft, pool_capacity, job, unit, -1)
         clear_unplaceable(draft)
 
 
@@ -60,7 +72,6 @@
     Capacity that stops will free counts too and is kept from other units of this plan.
     The unit starts in a later plan, once the capacity is free.
     """
-    state = draft.state
     step = job.find_step(unit)
     count = len(list_indices(step, unit))
     placed = count_placed(job, unit) if step.server_limit else Counter()
@@ -68,10 +79,12 @@
     expected = find_expected_capacity(draft, pool_capacity)
     if unit.reserved_servers and fits_all(expected, unit.reserved_servers, step.shape):
         # Choosing again would stop other work each time that a cost changes.
-        take_reservation(pool_capacity, job, unit)
+        take_reservation(draft, pool_capacity, job, unit)
         return True
     unit.reserved_servers = ()
     requester = Requester(job.record.priority, guaranteed, step.long_running)
+    if not reclaim_allowance(draft, requester, job, unit):
+        return False
     requirements = make_requirements(job.record.pool, step)
     cacheable = not step.server_limit
     if cacheable and count >= draft.unreclaimable.get(
@@ -79,6 +92,7 @@
     ):
         return False
     victim_index = find_victim_index(draft, requester)
+    expected = find_expected_capacity(draft, pool_capacity)
     preemption = find_preemption(
         expected, victim_index, step, count, placed, unit.avoided_servers
     )
@@ -87,17 +101,63 @@
             draft.unreclaimable[requester, requirements] = count
         return False
     unit.reserved_servers = tuple(preemption.names)
-    take_reservation(pool_capacity, job, unit)
-    for key, victim in preemption.victims.items():
-        other = state.jobs[key[0]]
-        state.note(
-            "unit.preempted",
-            other.job_id,
-            unit=key[1],
-            for_job=job.job_id,
-            cost=round(victim.cost, 1),
-        )
-        reason = f"preempted by {job.job_id}"
-        mark_stopping(draft, victim)
-        abort_attempt(state, other, other.units[key[1]], reason, draft.now)
+    take_reservation(draft, pool_capacity, job, unit)
+    for victim in preemption.victims.values():
+        preempt(draft, job, victim)
     return True
+
+
+def preempt(draft: Draft, job: Job, victim: Victim) -> None:
+    """Stop an attempt so that a unit of `job` can start."""
+    state = draft.state
+    job_id, key = victim.key
+    other = state.jobs[job_id]
+    state.note(
+        "unit.preempted",
+        job_id,
+        unit=key,
+        for_job=job.job_id,
+        cost=round(victim.cost, 1),
+    )
+    mark_stopping(draft, victim)
+    abort_attempt(
+        state, other, other.units[key], f"preempted by {job.job_id}", draft.now
+    )
+
+
+def reclaim_allowance(draft: Draft, requester: Requester, job: Job, unit: Unit) -> bool:
+    """Stop other work of the job's account until the unit fits the account's quota.
+
+    Work that fills the quota may keep an urgent unit from starting even where servers
+    are idle. Returns False if the quota does not suffice even so.
+    """
+    account = job.record.account
+    step = job.find_step(unit)
+    count = len(list_indices(step, unit))
+    if check_allowance(draft.allowances, account, step.shape, count):
+        return True
+    expected = measure_expected_allowance(draft.state, draft.allowances, account)
+    chosen: list[Victim] = []
+    for victim in list_own_victims(draft, find_victim_index(draft, requester), account):
+        if check_allowance(expected, account, step.shape, count):
+            break
+        for shape, tasks in victim.tasks.values():
+            use_allowance(expected, account, shape, -tasks)
+        chosen.append(victim)
+    if not check_allowance(expected, account, step.shape, count):
+        return False
+    for victim in chosen:
+        preempt(draft, job, victim)
+    return True
+
+
+def list_own_victims(
+    draft: Draft, victim_index: VictimIndex, account: str
+) -> list[Victim]:
+    """Return the preemptible attempts of one account, the cheapest first."""
+    own = [
+        victim
+        for victim in victim_index.victims.values()
+        if draft.state.jobs[victim.key[0]].record.account == account
+    ]
+    return sorted(own, key=lambda victim: victim.cost)
--- a/src/cardamomdyke/planner/drafts.py
+++ b/src/cardamomdyke/planner/drafts.py
@@ -16,6 +16,7 @@
     VictimIndex,
     make_victim_index,
 )
+from cardamomdyke.planner.quotas import Allowance
 from cardamomdyke.planner.state import PlannerState, list_holders
 
 
@@ -58,6 +59,8 @@
         Free capacity by pool.
     guaranteed : frozenset of str
         Ids of jobs covered by client accounts' guarantees.
+    allowances : dict of str to Allowance
+        Unused quotas by client account; accounts without a quota are left out.
     unplaceable : dict of Requirements to int
         Smallest number of tasks that did not fit.
     unreclaimable : dict of (Requester, Requirements) to int
@@ -72,6 +75,7 @@
     now: float
     capacities: dict[str, PoolCapacity] = field(default_factory=dict)
     guaranteed: frozenset[str] = frozenset()
+    allowances: dict[str, Allowance] = field(default_factory=dict)
     unplaceable: dict[Requirements, int] = field(default_factory=dict)
     unreclaimable: dict[tuple[Requester, Requirements], int] = field(
         default_factory=dict
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -14,6 +14,11 @@
 from cardamomdyke.planner.drafts import Draft, find_pool_capacity
 from cardamomdyke.planner.occurrences import update_occurrences
 from cardamomdyke.planner.placement import PoolCapacity, fits_all, take_capacity
+from cardamomdyke.planner.quotas import (
+    check_allowance,
+    measure_allowances,
+    use_allowance,
+)
 from cardamomdyke.planner.seeking import choose_unit_servers, count_placed
 from cardamomdyke.planner.state import (
     Job,
@@ -43,6 +48,7 @@
     draft = Draft(state, now)
     waiting = [job for job in state.jobs.values() if not job.is_final]
     draft.guaranteed = find_guaranteed(state, waiting)
+    draft.allowances = measure_allowances(state)
     mark_guaranteed(waiting, draft.guaranteed)
     ranked = sorted(waiting, key=rank_job)
     covered = [job for job in ranked if job.job_id in draft.guaranteed]
@@ -162,6 +168,9 @@
     """Create an attempt for a unit if it fits, preferably on its reserved servers."""
     step = job.find_step(unit)
     indices = list_indices(step, unit)
+    account = job.record.account
+    if not check_allowance(draft.allowances, account, step.shape, len(indices)):
+        return False
     placed = count_placed(job, unit) if step.server_limit else Counter()
     names = choose_unit_servers(draft, pool_capacity, job, unit)
     if unit.reserved_servers and fits_all(
@@ -176,6 +185,7 @@
         return False
     for name in names:
         take_capacity(pool_capacity.by_name[name], step.shape)
+    use_allowance(draft.allowances, account, step.shape, len(indices))
     placements = dict(zip(indices, names, strict=True))
     guaranteed = job.job_id in draft.guaranteed
     create_attempt(draft.state, job, unit, placements, draft.now, guaranteed)
--- a/src/cardamomdyke/platform/tables.py
+++ b/src/cardamomdyke/platform/tables.py
@@ -4,6 +4,7 @@
 from msgspec import DecodeError, Struct, ValidationError, field
 from msgspec.json import Decoder
 
+from cardamomdyke.model.orders import Shape
 from cardamomdyke.model.queues import (
     Account,
     QueuePool,
@@ -48,10 +49,19 @@
     accelerators: int = 0
 
 
+class _MaxCount(Struct):
+    # Resources in use over all backend servers, not a number of tasks.
+    cpu_millicores: int = 0
+    task_memory_mb: int = 0
+    accelerators: int = 0
+
+
 class _Tenant(Struct):
     name: str
     api_keys: list[str] = field(default_factory=list)
     guaranteed: _Guaranteed = field(default_factory=_Guaranteed)
+    weight: float = 0.0
+    max_count: _MaxCount = field(default_factory=_MaxCount)
 
 
 class _Limits(Struct):
@@ -93,14 +103,7 @@
         )
         for service in wire.services
     }
-    accounts = tuple(
-        Account(
-            tenant.name,
-            frozenset(tenant.api_keys),
-            tenant.guaranteed.accelerators,
-        )
-        for tenant in wire.tenants
-    )
+    accounts = tuple(_convert_tenant(tenant) for tenant in wire.tenants)
     return Ok(
         make_queue_tables(
             wire.version, routes, pools, accounts, wire.limits.max_body_bytes
@@ -123,6 +126,17 @@
     )
 
 
+def _convert_tenant(wire: _Tenant) -> Account:
+    quota = wire.max_count
+    return Account(
+        name=wire.name,
+        keys=frozenset(wire.api_keys),
+        guaranteed_accelerators=wire.guaranteed.accelerators,
+        quota=Shape(quota.cpu_millicores, quota.task_memory_mb, quota.accelerators),
+        weight=wire.weight,
+    )
+
+
 def parse_evacuated_domain(key: str) -> str:
     """Return the failure domain that a key evacuates; empty for other keys."""
     if not key.startswith(EVACUATION_PREFIX):
--- a/tests/planner/rule_checker.py
+++ b/tests/planner/rule_checker.py
@@ -12,12 +12,15 @@
 CANCEL_SECONDS = 3.0
 # An occurrence may start this much before its due time.
 EARLY_SECONDS = 0.25
+# A lower quota is in force this long after its publication.
+CONFIG_APPLY_SECONDS = 2.0
 
 
 @dataclass
 class RuleChecker:
     """Runs that the servers have seen, and violations of the platform's rules.
 
+    `quotas` holds the times and numbers of accelerators by account, 0 for no limit.
     `done_records` and `failure_records` hold the server, its instance, its number of
     expired leases, and the number of the ended run.
     """
@@ -36,6 +39,7 @@
     starts: dict[TaskId, list[float]] = field(default_factory=dict)
     done_records: dict[TaskId, tuple[str, int, int, int]] = field(default_factory=dict)
     completed_tasks: set[TaskId] = field(default_factory=set)
+    quotas: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
     faults_injected: bool = False
 
     def is_store_reachable(self) -> bool:
@@ -88,6 +92,7 @@
             return
         step = record.order.steps[task.step]
         self.check_capacity(server, record, step, task)
+        self.check_quota(record.account, step, task)
         for name, number in self.active_runs.get(task, []):
             if self.cluster.servers[name].up:
                 self.violations.append(f"TWICE: {task} {run.run}, {number} on {name}")
@@ -142,6 +147,27 @@
         if sum(shape.accelerators for shape in used) > server.capacity.accelerators:
             self.violations.append(f"LIMIT: {task} on {server.name}")
 
+    def check_quota(self, account: str, step: StepOrder, task: TaskId) -> None:
+        """Check an account's accelerators, what is being stopped included."""
+        limit = self.find_highest_quota(account)
+        used = step.shape.accelerators + sum(
+            self.orders[run.task.job_id].order.steps[run.task.step].shape.accelerators
+            for server in self.cluster.servers.values()
+            if server.up
+            for run in server.runs.values()
+            if self.orders[run.task.job_id].account == account
+        )
+        if limit and step.shape.accelerators and used > limit:
+            self.violations.append(f"QUOTA: {task}: {account} uses {used} of {limit}")
+
+    def find_highest_quota(self, account: str) -> int:
+        """Return the highest quota that may be in force; 0 for no limit."""
+        history = self.quotas.get(account, [(0.0, 0)])
+        ended = [at for at, _ in history if at <= self.now - CONFIG_APPLY_SECONDS]
+        since = max(ended, default=float("-inf"))
+        limits = [limit for at, limit in history if at >= since]
+        return 0 if 0 in limits else max(limits)
+
     def check_end(self, server: PlatformServer, run: Run, kind: EndKind | None) -> None:
         self.active_runs[run.task].remove((server.name, run.run))
         if kind is EndKind.DONE:
--- a/tests/planner/test_histories.py
+++ b/tests/planner/test_histories.py
@@ -60,10 +60,14 @@
     Jobs are submitted and cancelled while planners, servers, calls and the store fail.
     """
 
-    @initialize(rates=st.lists(st.sampled_from([1.0, 0.98]), min_size=4, max_size=4))
-    def begin(self, rates: list[float]) -> None:
+    @initialize(
+        rates=st.lists(st.sampled_from([1.0, 0.98]), min_size=4, max_size=4),
+        quota=st.sampled_from([0, 8, 16]),
+    )
+    def begin(self, rates: list[float], quota: int) -> None:
         self.world = World()
         self.world.accounts = (Account("owner", frozenset(), 16),)
+        self.world.set_quota("owner", quota)
         for name, rate in zip(SERVERS, rates, strict=True):
             rack = "r1" if name in ("s0", "s1") else "r2"
             self.world.add_server(name, SERVER, rack, rate)
@@ -125,6 +129,10 @@
     def cancel(self, number: int) -> None:
         self.world.cancel(f"{number % self.jobs + 1:016x}")
 
+    @rule(accelerators=st.sampled_from([0, 4, 8, 16, 32]))
+    def change_quota(self, accelerators: int) -> None:
+        self.world.set_quota("owner", accelerators)
+
     @rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 3.0, 8.0]))
     def wait(self, seconds: float) -> None:
         self.world.run_for(seconds)
@@ -198,6 +206,8 @@
         world = self.world
         world.store_up = True
         world.faults = []
+        # A gang larger than its account's quota could never run.
+        world.set_quota("owner", 0)
         for name in SERVERS:
             world.list_server(name)
         world.planner.cut.clear()
--- a/tests/planner/world.py
+++ b/tests/planner/world.py
@@ -6,7 +6,7 @@
 
 import heapq
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from itertools import count
 
@@ -226,6 +226,16 @@
     def find_phase(self, job_id: str) -> JobPhase | None:
         return find_phase(self.read_ledger(), job_id)
 
+    def set_quota(self, account: str, accelerators: int) -> None:
+        """Change the most accelerators that an account may use at the same time."""
+        self.accounts = tuple(
+            replace(item, quota=Shape(accelerators=accelerators))
+            if item.name == account
+            else item
+            for item in self.accounts
+        )
+        self.quotas.setdefault(account, []).append((self.now, accelerators))
+
     # Planners.
 
     @property
@@ -282,6 +292,7 @@
         if planner.reaches_store and self.store_up:
             planner.authority_until = self.now + AUTHORITY_SECONDS
             self.apply_records(planner)
+            planner.state.tables = self.make_tables()
             update_servers(planner.state, self.listed.values(), self.now)
             planner.state.evacuated = frozenset(self.evacuated)
         apply_timeouts(planner.state, self.now)
