Leave headroom for urgent jobs and for waiting gangs

Change: batch work leaves free what urgent jobs asked for in 2 s on average, an eighth of the pool at most, and 4% more while a gang that ranks before it does not fit. A pool that is less than 60% in use holds no idle job back for long.

--- a/src/cardamomdyke/planner/drafts.py
+++ b/src/cardamomdyke/planner/drafts.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from cardamomdyke.model.orders import Shape, StepOrder
+from cardamomdyke.planner.headroom import Headroom, make_headroom
 from cardamomdyke.planner.placement import (
     PoolCapacity,
     ServerCapacity,
@@ -57,6 +58,8 @@
         Steady-clock seconds.
     capacities : dict of str to PoolCapacity
         Free capacity by pool.
+    headrooms : dict of str to Headroom or None
+        Headroom by pool; None for a pool without servers.
     guaranteed : frozenset of str
         Ids of jobs covered by client accounts' guarantees.
     allowances : dict of str to Allowance
@@ -74,6 +77,7 @@
     state: PlannerState
     now: float
     capacities: dict[str, PoolCapacity] = field(default_factory=dict)
+    headrooms: dict[str, Headroom | None] = field(default_factory=dict)
     guaranteed: frozenset[str] = frozenset()
     allowances: dict[str, Allowance] = field(default_factory=dict)
     unplaceable: dict[Requirements, int] = field(default_factory=dict)
@@ -96,6 +100,13 @@
     return draft.capacities[pool]
 
 
+def find_headroom(draft: Draft, pool: str) -> Headroom | None:
+    """Return the headroom of a pool, computed once per pass."""
+    if pool not in draft.headrooms:
+        draft.headrooms[pool] = make_headroom(draft.state, pool, draft.now)
+    return draft.headrooms[pool]
+
+
 def clear_unplaceable(draft: Draft) -> None:
     """Clear what is known not to fit, after capacity was added back."""
     draft.unplaceable.clear()
--- /dev/null
+++ b/src/cardamomdyke/planner/headroom.py
@@ -0,0 +1,202 @@
+"""Headroom: free capacity that batch work leaves to urgent jobs and waiting gangs.
+
+It answers the load of a pool that batch work would fill while urgent gangs arrive in
+bursts. On a full pool each urgent gang waits for stops of other work, which loses what
+that work had done; and small tasks take each bit of free capacity before a gang of a
+higher priority fits. Capacities are counted in whole servers.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from cardamomdyke.jobs.records import GANG_INDEX
+from cardamomdyke.model.orders import Shape
+from cardamomdyke.planner.placement import PoolCapacity
+from cardamomdyke.planner.state import (
+    Job,
+    PlannerState,
+    Unit,
+    UrgentArrival,
+    list_indices,
+)
+
+# Period over which the demand of urgent jobs is averaged.
+DEMAND_PERIOD_SECONDS = 3.0
+# The headroom is the urgent demand of this long. A stop frees capacity after up to a
+# second, and the demand fluctuates by about its mean.
+HEADROOM_SECONDS = 2.0
+# Limits, as shares of a pool's servers, so that batch work goes on under overload.
+MAX_URGENT_SHARE = 0.125
+MAX_WAITING_SHARE = 0.04
+# Gangs that need more of the pool than this wait without holding back other work.
+MAX_GANG_SHARE = 0.5
+# The platform counts a job as lost that has nothing running for 3 s although its pool
+# has capacity for it twice over and is less than half in use.
+MAX_IDLE_WAIT_SECONDS = 1.5
+MIN_SPARE_FACTOR = 2.0
+MIN_USED_SHARE = 0.6
+
+
+@dataclass(slots=True)
+class Headroom:
+    """Headroom of one pool during a planning pass, in whole servers.
+
+    Attributes
+    ----------
+    servers : int
+        Number of servers that the pool lists.
+    total : Shape
+        Capacity of a server.
+    urgent : float
+        Kept free for urgent jobs.
+    waiting : float
+        Kept free for gangs that do not fit yet and rank before other work.
+    underused : bool
+        True when so little of the pool is in use that waiting work must not be held
+        back for long.
+    free : float or None
+        Free capacity; None until the first unit of batch work is considered.
+    """
+
+    servers: int
+    total: Shape
+    urgent: float
+    waiting: float = 0.0
+    underused: bool = False
+    free: float | None = None
+
+
+def record_arrival(state: PlannerState, job: Job) -> None:
+    """Count the demand of a newly accepted urgent job."""
+    arrival = UrgentArrival(job.arrived_at, job.record.pool, job.record.order.steps)
+    state.urgent_arrivals.append(arrival)
+
+
+def make_headroom(state: PlannerState, pool: str, now: float) -> Headroom | None:
+    """Return the headroom of a pool, or None for a pool without servers."""
+    totals = [
+        server.entry.capacity
+        for server in state.servers.values()
+        if server.listed and server.entry.pool == pool
+    ]
+    if not totals:
+        return None
+    largest = max(totals, key=lambda shape: (shape.accelerators, shape.millicores))
+    while (
+        state.urgent_arrivals
+        and now - state.urgent_arrivals[0].at > DEMAND_PERIOD_SECONDS
+    ):
+        state.urgent_arrivals.popleft()
+    demand = sum(
+        step.count * measure_share(step.shape, largest)
+        for arrival in state.urgent_arrivals
+        if arrival.pool == pool
+        for step in arrival.steps
+    )
+    urgent = min(
+        MAX_URGENT_SHARE * len(totals),
+        HEADROOM_SECONDS * demand / DEMAND_PERIOD_SECONDS,
+    )
+    underused = measure_use(state, pool, totals) < MIN_USED_SHARE
+    return Headroom(len(totals), largest, urgent, underused=underused)
+
+
+def measure_share(shape: Shape, total: Shape) -> float:
+    """Return the share of a server that a task takes, by its scarcest resource."""
+    pairs = (
+        (shape.accelerators, total.accelerators),
+        (shape.millicores, total.millicores),
+        (shape.memory_mb, total.memory_mb),
+    )
+    return max((used / most for used, most in pairs if most), default=0.0)
+
+
+def measure_use(state: PlannerState, pool: str, totals: Iterable[Shape]) -> float:
+    """Return the used share of the pool's most used resource."""
+    used = [0, 0, 0]
+    for server in state.servers.values():
+        if server.entry.pool != pool:
+            continue
+        for shape in server.holders.values():
+            used[0] += shape.accelerators
+            used[1] += shape.millicores
+            used[2] += shape.memory_mb
+    available = [0, 0, 0]
+    for total in totals:
+        available[0] += total.accelerators
+        available[1] += total.millicores
+        available[2] += total.memory_mb
+    shares = [part / most for part, most in zip(used, available, strict=True) if most]
+    return max(shares, default=0.0)
+
+
+def measure_free(pool_capacity: PoolCapacity) -> float:
+    """Return the free capacity of a pool, by the scarcest resource of each server."""
+    free = 0.0
+    for server in pool_capacity.by_name.values():
+        total = server.total
+        share = 1.0
+        if total.accelerators:
+            share = min(share, server.accelerators / total.accelerators)
+        if total.millicores:
+            share = min(share, server.millicores / total.millicores)
+        if total.memory_mb:
+            share = min(share, server.memory_mb / total.memory_mb)
+        free += max(0.0, share)
+    return free
+
+
+def measure_need(job: Job, unit: Unit, headroom: Headroom) -> float:
+    """Return the capacity that a unit takes, in whole servers."""
+    step = job.find_step(unit)
+    return len(list_indices(step, unit)) * measure_share(step.shape, headroom.total)
+
+
+def check_headroom(
+    headroom: Headroom, free: float, job: Job, unit: Unit, now: float
+) -> bool:
+    """Check that a unit which is not urgent leaves the headroom free.
+
+    Parameters
+    ----------
+    headroom : Headroom
+        Headroom of the job's pool.
+    free : float
+        Free capacity of the pool, in whole servers.
+    job : Job
+        Job of the unit.
+    unit : Unit
+        Unit that waits only for resources.
+    now : float
+        Steady-clock seconds.
+
+    Returns
+    -------
+    bool
+        True if it may start now.
+    """
+    kept = headroom.urgent + headroom.waiting
+    need = measure_need(job, unit, headroom)
+    if not kept or need <= free - kept:
+        return True
+    idle = all(other.attempt is None for other in job.units.values())
+    waited = now - (unit.ready_since or now)
+    return (
+        headroom.underused
+        and idle
+        and waited >= MAX_IDLE_WAIT_SECONDS
+        and free >= MIN_SPARE_FACTOR * need
+    )
+
+
+def hold_for_gang(headroom: Headroom, job: Job, unit: Unit) -> None:
+    """Keep capacity free for a gang that does not fit, from work that ranks after it.
+
+    Single tasks find room as soon as any task ends, so they hold nothing.
+    """
+    need = measure_need(job, unit, headroom)
+    if unit.key[2] != GANG_INDEX or need > MAX_GANG_SHARE * headroom.servers:
+        return
+    headroom.waiting = min(
+        MAX_WAITING_SHARE * headroom.servers, headroom.waiting + need
+    )
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -11,7 +11,13 @@
     reclaim_capacity,
     release_reservation,
 )
-from cardamomdyke.planner.drafts import Draft, find_pool_capacity
+from cardamomdyke.planner.drafts import Draft, find_headroom, find_pool_capacity
+from cardamomdyke.planner.headroom import (
+    check_headroom,
+    hold_for_gang,
+    measure_free,
+    measure_need,
+)
 from cardamomdyke.planner.occurrences import update_occurrences
 from cardamomdyke.planner.placement import PoolCapacity, fits_all, take_capacity
 from cardamomdyke.planner.quotas import (
@@ -28,8 +34,6 @@
     list_indices,
 )
 
-# Only jobs of this priority can be covered by a client account's guarantee.
-URGENT_PRIORITY = 0
 # Kind of the log line for a placed unit.
 PLACED_KIND = "unit.placed"
 
@@ -84,7 +88,7 @@
         for account in state.tables.accounts
     }
     covered: set[str] = set()
-    urgent = [job for job in jobs if job.record.priority == URGENT_PRIORITY]
+    urgent = [job for job in jobs if job.is_urgent]
     for job in sorted(urgent, key=lambda item: item.arrived_at):
         account = job.record.account
         need = count_accelerators(job)
@@ -113,7 +117,7 @@
 
 
 def place_job(draft: Draft, job: Job) -> None:
-    """Create attempts for ready units; urgent and long-running ones may preempt.
+    """Create attempts for the ready units of a job.
 
     Once a unit does not fit, the rest of its step is skipped.
     """
@@ -123,21 +127,48 @@
     for unit in ready:
         unit.ready_since = unit.ready_since or draft.now
     pool_capacity = find_pool_capacity(draft, job.record.pool)
-    urgent = job.record.priority == URGENT_PRIORITY
     unplaceable_steps: set[int] = set()
     for unit in ready:
         step_number = unit.key[1]
         if step_number in unplaceable_steps:
             continue
         release_reservation(draft, pool_capacity, job, unit)
-        if place_unit(draft, pool_capacity, job, unit):
-            unit.reserved_servers = ()
-            continue
-        may_reclaim = urgent or job.find_step(unit).long_running
-        if not (may_reclaim and reclaim_capacity(draft, pool_capacity, job, unit)):
+        if job.is_urgent or job.find_step(unit).long_running:
+            placed = place_with_priority(draft, pool_capacity, job, unit)
+        else:
+            placed = place_batch_unit(draft, pool_capacity, job, unit)
+        if not placed:
             unplaceable_steps.add(step_number)
 
 
+def place_with_priority(
+    draft: Draft, pool_capacity: PoolCapacity, job: Job, unit: Unit
+) -> bool:
+    """Start an urgent or long-running unit, or reserve capacity for it."""
+    if place_unit(draft, pool_capacity, job, unit):
+        unit.reserved_servers = ()
+        return True
+    return reclaim_capacity(draft, pool_capacity, job, unit)
+
+
+def place_batch_unit(
+    draft: Draft, pool_capacity: PoolCapacity, job: Job, unit: Unit
+) -> bool:
+    """Start a unit if it fits and leaves the headroom of its pool free."""
+    headroom = find_headroom(draft, job.record.pool)
+    if headroom is None:
+        return False
+    if headroom.free is None:
+        headroom.free = measure_free(pool_capacity)
+    if check_headroom(headroom, headroom.free, job, unit, draft.now) and place_unit(
+        draft, pool_capacity, job, unit
+    ):
+        headroom.free -= measure_need(job, unit, headroom)
+        return True
+    hold_for_gang(headroom, job, unit)
+    return False
+
+
 def move_long_running(draft: Draft, job: Job) -> None:
     """Stop long-running tasks on draining servers if they fit on other servers.
 
--- a/src/cardamomdyke/planner/progress.py
+++ b/src/cardamomdyke/planner/progress.py
@@ -16,6 +16,7 @@
 from cardamomdyke.model.servers import ServerEntry
 from cardamomdyke.planner.actions import SendStart
 from cardamomdyke.planner.attempts import abort_attempt, cancel_job, end_job
+from cardamomdyke.planner.headroom import record_arrival
 from cardamomdyke.planner.leases import find_inherited_expiry
 from cardamomdyke.planner.occurrences import open_next, open_occurrences
 from cardamomdyke.planner.state import (
@@ -178,6 +179,8 @@
         return
     state.known_job_ids.add(record.job_id)
     job = state.jobs[record.job_id] = Job(record, now)
+    if job.is_urgent:
+        record_arrival(state, job)
     open_occurrences(state, job, now)
 
 
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -3,6 +3,7 @@
 Times are seconds on the daemon's steady clock unless they are called Unix times.
 """
 
+from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -113,9 +114,31 @@
     reason: str = ""
 
 
+# Only jobs of this priority are urgent and covered by a client account's guarantee.
+URGENT_PRIORITY = 0
+
 UnitKey = tuple[int, int, int]
 
 
+@dataclass(frozen=True, slots=True)
+class UrgentArrival:
+    """Arrival of an urgent job.
+
+    Attributes
+    ----------
+    at : float
+        Steady-clock seconds.
+    pool : str
+        Pool of the job.
+    steps : tuple of StepOrder
+        Steps of the job.
+    """
+
+    at: float
+    pool: str
+    steps: tuple[StepOrder, ...]
+
+
 @dataclass(slots=True)
 class Unit:
     """Tasks that start together: one task, or all tasks of a gang.
@@ -197,6 +220,11 @@
         """Id of the job."""
         return self.record.job_id
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether the job has the highest priority."""
+        return self.record.priority == URGENT_PRIORITY
+
     @property
     def is_final(self) -> bool:
         """Whether the phase is completed, failed or cancelled."""
@@ -338,6 +366,8 @@
         Actions for the control loop to execute, in order.
     superseded : bool
         True once a server has reported a higher fencing token.
+    urgent_arrivals : deque of UrgentArrival
+        Recent arrivals of urgent jobs, the oldest first.
     """
 
     limits: Limits
@@ -352,6 +382,7 @@
     changed: dict[str, None] = field(default_factory=dict)
     actions: list[Action] = field(default_factory=list)
     superseded: bool = False
+    urgent_arrivals: deque[UrgentArrival] = field(default_factory=deque)
 
     def note(self, kind: str, subject: str, **facts: object) -> None:
         """Add an action that writes a log line."""
