Refuse at once during a known outage, and send callers back later the longer it lasts

Each request was held for 0.7 s, so 19 callers with little patience left got no answer, and with Retry-After of 1 s the five tries of a caller ended inside the outage: 12 of 57 jobs were never accepted. Conclusion: a refusal stays true: an append that may have been stored is still answered with 504.

--- a/src/cardamomdyke/control/processor.py
+++ b/src/cardamomdyke/control/processor.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 
 from expression import Error, Ok, Result
@@ -20,6 +20,7 @@
     JobRecord,
     encode_job,
 )
+from cardamomdyke.jobs.refusals import choose_retry_after
 from cardamomdyke.model.queues import Account, QueueRoute, QueueTables, find_route
 from cardamomdyke.platform.records import KeyedRecord, StoreFaultKind
 from cardamomdyke.platform.submissions import (
@@ -459,13 +460,19 @@
 
     def refuse(self, subject: str, refusal: Refusal) -> CallerAnswer:
         """Log a refusal and return its answer."""
+        contact_age = read_clock() - self.context.store.contact.answered_at
+        if refusal.kind == NOT_REACHED.kind:
+            refusal = replace(
+                refusal, retry_after_seconds=choose_retry_after(contact_age)
+            )
         self.context.journal.write(
             "request.refused",
             subject,
             code=refusal.code,
             reason=refusal.kind,
             detail=refusal.detail,
-            contact_age=round(read_clock() - self.context.store.contact.answered_at, 3),
+            contact_age=round(contact_age, 3),
+            retry_after=refusal.retry_after_seconds,
         )
         return make_answer(refusal)
 
--- a/src/cardamomdyke/control/relay.py
+++ b/src/cardamomdyke/control/relay.py
@@ -37,6 +37,9 @@
 RETRY_WAIT_SECONDS = 0.15
 # A peer that did not answer or reach the store is skipped this long.
 SKIP_SECONDS = 2.0
+# After a request that neither this VM nor a peer could bring to the store, others are
+# refused at once for this long. Then one of them tries again.
+KNOWN_OUTAGE_SECONDS = 0.5
 # Lowest HTTP status of a request that was not served.
 MIN_REFUSAL_CODE = 400
 
@@ -181,21 +184,28 @@
         Serves requests with the local ledger.
     relay : Relay
         Relays requests to peers.
+    unreached_at : float
+        When no VM that was asked reached the store, in seconds of `read_clock`.
     """
 
     context: Context
     processor: RequestProcessor
     relay: Relay
+    unreached_at: float = float("-inf")
 
     async def serve(self, request: CallerRequest) -> CallerAnswer:
         """Answer one request of a caller.
 
         While the store does not answer, a change is retried locally and through
         peers for `RETRY_TIMEOUT_SECONDS`; then the caller gets the best answer so far.
+        During a known outage it gets an answer at once.
         """
         began_at = read_clock()
         answers: list[CallerAnswer] = []
         while True:
+            if self.is_outage_known():
+                answers.append(await self.processor.serve(request))
+                return choose_answer(request, answers)
             answers += await self.serve_once(request)
             answer = choose_answer(request, answers)
             elapsed_seconds = read_clock() - began_at
@@ -207,10 +217,17 @@
                 return answer
             await asyncio.sleep(RETRY_WAIT_SECONDS)
 
+    def is_outage_known(self) -> bool:
+        """Return whether this VM and its peers have just failed to reach the store."""
+        recent = read_clock() - self.unreached_at <= KNOWN_OUTAGE_SECONDS
+        return recent and not check_contact(self.context)
+
     async def serve_once(self, request: CallerRequest) -> list[CallerAnswer]:
         """Serve a request locally, and through peers if the store is slow or down."""
         if not check_contact(self.context):
             relayed = await self.relay.forward(request)
+            if not any(answer.reached for answer in relayed):
+                self.unreached_at = read_clock()
             return relayed or [await self.processor.serve(request)]
         serving = asyncio.ensure_future(self.processor.serve(request))
         await asyncio.wait({serving}, timeout=HEDGE_WAIT_SECONDS)
--- a/tests/control/test_relay.py
+++ b/tests/control/test_relay.py
@@ -10,8 +10,19 @@
 
 from cardamomdyke.adapters.http import TransportFault, TransportFaultKind
 from cardamomdyke.control.clock import read_clock
-from cardamomdyke.control.processor import CallerAnswer, CallerRequest, RequestProcessor
-from cardamomdyke.control.relay import RETRY_TIMEOUT_SECONDS, Relay, RequestReceiver
+from cardamomdyke.control.processor import (
+    NOT_KNOWN,
+    CallerAnswer,
+    CallerRequest,
+    RequestProcessor,
+    make_answer,
+)
+from cardamomdyke.control.relay import (
+    KNOWN_OUTAGE_SECONDS,
+    RETRY_TIMEOUT_SECONDS,
+    Relay,
+    RequestReceiver,
+)
 from cardamomdyke.membership.peers import Peer
 from cardamomdyke.platform.records import StoreFault, StoreFaultKind
 from cardamomdyke.protocol.gen.ttypes import RelayCall, RelayReply
@@ -172,3 +183,69 @@
         make_relaying_receiver(*replies).serve(make_request("POST", JOB, BODY))
     )
     assert answer.code == code
+
+
+def lose_contact(receiver: RequestReceiver, seconds: float) -> None:
+    receiver.context.store.contact.answered_at = read_clock() - seconds
+
+
+def test_known_outage_is_refused_at_once() -> None:
+    """Guards against callers held for 0.7 s each while no VM reaches the store.
+
+    Callers with little patience left before the refusal, and got no answer.
+    """
+
+    async def scenario() -> None:
+        receiver = make_receiver([])
+        lose_contact(receiver, 3.0)
+        relay = cast(FakeRelay, receiver.relay)
+        first = await receiver.serve(make_request("POST", JOB, BODY))
+        calls = relay.calls
+        began_at = read_clock()
+        second = await receiver.serve(make_request("POST", JOB, BODY))
+        assert (first.code, second.code) == (503, 503)
+        assert relay.calls == calls
+        assert read_clock() - began_at < RETRY_TIMEOUT_SECONDS / 2
+
+    asyncio.run(scenario())
+
+
+def test_peers_are_asked_again_after_a_known_outage() -> None:
+    """Guards against a VM that goes on refusing what a peer could store."""
+
+    async def scenario() -> None:
+        receiver = make_receiver([])
+        lose_contact(receiver, 3.0)
+        await receiver.serve(make_request("POST", JOB, BODY))
+        receiver.unreached_at -= KNOWN_OUTAGE_SECONDS
+        cast(FakeRelay, receiver.relay).answers.append(SERVED)
+        assert await receiver.serve(make_request("POST", JOB, BODY)) is SERVED
+
+    asyncio.run(scenario())
+
+
+def test_known_outage_does_not_hide_an_uncertain_append() -> None:
+    """Guards against 503 "not run" after a peer may have stored the job."""
+
+    async def scenario() -> None:
+        receiver = make_receiver([make_answer(NOT_KNOWN)])
+        lose_contact(receiver, 3.0)
+        answer = await receiver.serve(make_request("POST", JOB, BODY))
+        assert answer.code == NOT_KNOWN.code
+
+    asyncio.run(scenario())
+
+
+def test_callers_come_back_later_to_a_longer_outage() -> None:
+    """Guards against callers whose tries all fall into one outage of the store."""
+
+    async def scenario() -> None:
+        receiver = make_receiver([])
+        retry_after = []
+        for seconds in (0.8, 3.0):
+            lose_contact(receiver, seconds)
+            answer = await receiver.serve(make_request("POST", JOB, BODY))
+            retry_after.append(answer.retry_after_seconds)
+        assert retry_after[0] < retry_after[1]
+
+    asyncio.run(scenario())
