Keep the work of a daemon going after an unexpected error in one part of it

Cause: a deeply nested value in a record, also in a field that is ignored, raised RecursionError, which no decoder caught: one such entry among the backend servers ended the task that reads them for the rest of the term, and one in the configuration ended that of every daemon. An error in a task of a term left a planner that held its place and recorded nothing. Terms move to a module. Conclusion: one malformed message or unexpected error ends its unit of work only, on the platform daemon.

--- a/src/cardamomdyke/adapters/backend.py
+++ b/src/cardamomdyke/adapters/backend.py
@@ -5,7 +5,6 @@
 from typing import TypeVar
 
 from expression import Error, Ok, Result
-from msgspec import DecodeError, ValidationError
 from msgspec.json import decode, encode
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPResponse
@@ -16,6 +15,7 @@
     TransportFaultKind,
     send_call,
 )
+from cardamomdyke.model.errors import DECODE_ERRORS
 
 CONTROL_TIMEOUT_SECONDS = 1.0
 REFUSAL_STATUS = 409
@@ -451,7 +451,7 @@
             return Error(parse_refusal(response))
         try:
             return Ok(decode(response.body, type=reply_type))
-        except (DecodeError, ValidationError) as error:
+        except DECODE_ERRORS as error:
             detail = f"malformed reply from {call.url}: {error}"
             return Error(BackendFault(BackendFaultKind.UNCERTAIN, detail))
 
@@ -476,7 +476,7 @@
     try:
         refusal = decode(response.body or b"", type=_WireRefusal)
         kind = BackendFaultKind(refusal.refused)
-    except (DecodeError, ValidationError, ValueError):
+    except (*DECODE_ERRORS, ValueError):
         return BackendFault(
             BackendFaultKind.UNCERTAIN, f"unexpected status {response.code}"
         )
--- a/src/cardamomdyke/adapters/log.py
+++ b/src/cardamomdyke/adapters/log.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass
 
 from expression import Error, Ok, Result
-from msgspec import DecodeError, ValidationError
 from msgspec.json import Decoder
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from cardamomdyke.adapters.http import HttpCall, send_call
+from cardamomdyke.model.errors import DECODE_ERRORS
 
 MAX_PAGE_RECORDS = 500
 # An append may have taken effect before a server error or a gateway's timeout.
@@ -141,7 +141,7 @@
             )
         try:
             return Ok(_APPEND_DECODER.decode(response.body).offset)
-        except (DecodeError, ValidationError) as error:
+        except DECODE_ERRORS as error:
             return Error(LogFault(True, f"malformed reply from log service: {error}"))
 
     async def read_records(
@@ -182,6 +182,6 @@
                 LogRecord(record.offset, b64decode(record.data, validate=True))
                 for record in page.records
             )
-        except (DecodeError, ValidationError, ValueError) as error:
+        except (*DECODE_ERRORS, ValueError) as error:
             return Error(LogFault(False, f"malformed reply from log service: {error}"))
         return Ok(LogPage(page.first, page.end, records))
--- a/src/cardamomdyke/adapters/runs.py
+++ b/src/cardamomdyke/adapters/runs.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass, replace
 
 from expression import Error, Ok, Result
-from msgspec import DecodeError, ValidationError
 from msgspec.json import decode, encode
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPResponse
@@ -16,6 +15,7 @@
     parse_refusal,
 )
 from cardamomdyke.adapters.http import PROGRESS_TIMEOUT_SECONDS, HttpCall, send_call
+from cardamomdyke.model.errors import DECODE_ERRORS
 from cardamomdyke.model.requests import KeyClaim, ShortRequest
 
 REQUEST_ID_HEADER = "Request-Id"
@@ -188,7 +188,7 @@
             return Error(parse_refusal(result.ok))
         try:
             reply = decode(result.ok.body, type=KeyReply)
-        except (DecodeError, ValidationError) as error:
+        except DECODE_ERRORS as error:
             detail = f"malformed reply from {address}: {error}"
             return Error(BackendFault(BackendFaultKind.UNCERTAIN, detail))
         if reply.claim.key != call.claim.key:
@@ -205,7 +205,7 @@
             return ""
         try:
             return decode(result.ok.body, type=_WireTicket).ticket
-        except (DecodeError, ValidationError):
+        except DECODE_ERRORS:
             return ""
 
     async def _exchange(
--- a/src/cardamomdyke/adapters/vmlist.py
+++ b/src/cardamomdyke/adapters/vmlist.py
@@ -4,11 +4,11 @@
 from enum import StrEnum
 
 from expression import Error, Ok, Result
-from msgspec import DecodeError, ValidationError
 from msgspec.json import Decoder
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from cardamomdyke.adapters.http import HttpCall, send_call
+from cardamomdyke.model.errors import DECODE_ERRORS
 
 
 class MachineKind(StrEnum):
@@ -92,5 +92,5 @@
             return Error(f"VM list service returned status {result.ok.code}")
         try:
             return Ok(_LIST_DECODER.decode(result.ok.body).machines)
-        except (DecodeError, ValidationError) as error:
+        except DECODE_ERRORS as error:
             return Error(f"malformed reply from VM list service: {error}")
--- a/src/cardamomdyke/cli/calls.py
+++ b/src/cardamomdyke/cli/calls.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from expression import Error, Ok, Result
-from msgspec import DecodeError, ValidationError
 from msgspec.json import decode
 from tornado.httpclient import HTTPResponse
 
@@ -16,7 +15,7 @@
     make_http_client,
     send_call,
 )
-from cardamomdyke.model.errors import Problem, ProblemKind, make_problem
+from cardamomdyke.model.errors import DECODE_ERRORS, Problem, ProblemKind, make_problem
 
 CALL_TIMEOUT_SECONDS = 30.0
 # Commands that query all VMs wait this long for one that is down.
@@ -126,6 +125,6 @@
             return Ok(Answer(decode(response.body), int(left_out)))
         wire = decode(response.body, type=_WireProblem)
         return Error(Problem(ProblemKind(wire.kind), wire.message, wire.remedy))
-    except (DecodeError, ValidationError, ValueError):
+    except (*DECODE_ERRORS, ValueError):
         message = f"{call.address} sent status {response.code} without a valid VM reply"
         return Error(make_problem(ProblemKind.VM_UNREACHABLE, message))
--- a/src/cardamomdyke/control/app.py
+++ b/src/cardamomdyke/control/app.py
@@ -11,7 +11,6 @@
 from cardamomdyke.control.candidacy import make_candidacy
 from cardamomdyke.control.clock import read_clock, read_unix_time
 from cardamomdyke.control.context import Context, OperatorState
-from cardamomdyke.control.driver import PlannerRunner
 from cardamomdyke.control.feeds import TopicFeed
 from cardamomdyke.control.ingress import (
     make_caller_application,
@@ -28,6 +27,8 @@
 from cardamomdyke.control.processor import RequestProcessor
 from cardamomdyke.control.relay import Relay, RequestReceiver
 from cardamomdyke.control.reload import Reloader
+from cardamomdyke.control.supervision import run_supervised
+from cardamomdyke.control.terms import PlannerRunner
 from cardamomdyke.jobs.ledger import Ledger, apply_record, is_waiting
 from cardamomdyke.jobs.retention import make_retention
 from cardamomdyke.membership.peers import (
@@ -255,17 +256,19 @@
     progress = Progress()
     servers = start_servers(context, peer, make_request_receiver(context), progress)
     servers += start_metrics(context, leadership, metrics_port)
-    join_task = loop.create_task(leadership.join_forever())
+    join_task = loop.create_task(
+        run_supervised(journal, "join", leadership.join_forever)
+    )
     tasks = [
-        loop.create_task(coroutine)
-        for coroutine in (
-            make_operator_feed(context).follow_forever(),
-            context.work_feed.follow_forever(),
-            announce_forever(context, peer),
-            planner_runner.run_forever(),
-            reloader.watch_forever(),
-            context.unix_clock.record_readings_forever(),
-        )
+        loop.create_task(run_supervised(journal, name, run))
+        for name, run in {
+            "operator feed": make_operator_feed(context).follow_forever,
+            "work feed": context.work_feed.follow_forever,
+            "announcement": lambda: announce_forever(context, peer),
+            "planner": planner_runner.run_forever,
+            "settings": reloader.watch_forever,
+            "clock": context.unix_clock.record_readings_forever,
+        }.items()
     ]
     journal.write("daemon.started", settings.vm, domain=settings.failure_domain)
     await stop.wait()
--- a/src/cardamomdyke/control/driver.py
+++ b/src/cardamomdyke/control/driver.py
@@ -1,26 +1,26 @@
-"""Runs the planner of one term: takeover, decisions, records and calls."""
+"""Runs the planner of one term: decisions, records and calls."""
 
 import asyncio
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
-from cardamomdyke.control.candidacy import HEARTBEAT_PERIOD_SECONDS, Candidacy
+from cardamomdyke.control.candidacy import HEARTBEAT_PERIOD_SECONDS
 from cardamomdyke.control.clock import read_clock
 from cardamomdyke.control.context import (
     Context,
     ServerDirectory,
-    make_server_feed,
 )
 from cardamomdyke.control.leadership import Leadership
 from cardamomdyke.control.recorder import Recorder
+from cardamomdyke.control.supervision import log_crash
 from cardamomdyke.jobs.ledger import Change, ChangeKind
 from cardamomdyke.jobs.records import PROGRESS_PREFIX, encode_progress
 from cardamomdyke.jobs.retention import list_keys
 from cardamomdyke.membership.peers import HEARTBEAT_KEY, PEER_PREFIX
 from cardamomdyke.model.orders import TaskId
-from cardamomdyke.model.servers import CallFault
-from cardamomdyke.planner.actions import Action, Note, SendStart, SendStop
+from cardamomdyke.model.servers import CallFault, RunLists
+from cardamomdyke.planner.actions import Action, Note, PollOrder, SendStart, SendStop
 from cardamomdyke.planner.attempts import cancel_job
 from cardamomdyke.planner.occurrences import find_next_due
 from cardamomdyke.planner.planning import PLACED_KIND, plan_starts
@@ -35,7 +35,6 @@
     Batch,
     add_job,
     handle_recorded,
-    restore_jobs,
     take_batch,
 )
 from cardamomdyke.planner.replies import (
@@ -44,7 +43,6 @@
     handle_stop_answer,
 )
 from cardamomdyke.planner.state import (
-    Limits,
     PlannerState,
     Server,
     find_checkpoint,
@@ -60,12 +58,6 @@
 UNLEASED_POLL_SECONDS = 0.05
 FAILING_POLL_SECONDS = 0.3
 RECORD_WAIT_SECONDS = 0.3
-# The list of backend servers changes with every heartbeat, so it is read at
-# intervals. A leaving server must get no new task after 2 s.
-SERVER_LIST_PERIOD_SECONDS = 0.3
-# Each append ends the long poll of every daemon, and each poll has a cost. Daemons
-# that do not plan pause this long, so that one poll brings several records.
-FOLLOWER_WAIT_SECONDS = 0.1
 # Concurrent starts and stops on one backend server; each new connection has a cost.
 MAX_CONCURRENT_ORDERS = 3
 
@@ -119,11 +111,24 @@
         return self.leadership.term == self.state.fence
 
     def spawn(self, coroutine: Coroutine[object, object, None]) -> None:
-        """Run a coroutine until the term is closed."""
-        task = asyncio.get_running_loop().create_task(coroutine)
+        """Run a coroutine until the term is closed; an unexpected error ends it."""
+        task = asyncio.get_running_loop().create_task(self.guard(coroutine))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    async def guard(self, coroutine: Coroutine[object, object, None]) -> None:
+        """Run a coroutine, and end the term after an unexpected error.
+
+        The planner's state may be half changed, so the next term starts anew from the
+        records.
+        """
+        try:
+            await coroutine
+        except Exception as error:
+            log_crash(self.context.journal, "planner", error)
+            self.leadership.abandon_term("an unexpected error")
+            self.inputs_changed.set()
+
     async def run(self) -> None:
         """Plan until the term ends."""
         while self.is_current:
@@ -304,10 +309,24 @@
         if result.is_error():
             handle_poll_fault(self.state, name, result.error, now)
         else:
-            handle_poll_answer(self.state, name, order, result.ok, now)
+            self.apply_poll_answer(name, order, result.ok, now)
         self.inputs_changed.set()
         return order.lease_until is not None
 
+    def apply_poll_answer(
+        self, name: str, order: PollOrder, lists: RunLists, now: float
+    ) -> None:
+        """Pass a server's answer to the planner; one that cannot be applied is a fault.
+
+        One server's answers must not end the work on all others.
+        """
+        try:
+            handle_poll_answer(self.state, name, order, lists, now)
+        except Exception as error:
+            log_crash(self.context.journal, name, error)
+            fault = CallFault(False, None, "its answer cannot be applied")
+            handle_poll_fault(self.state, name, fault, now)
+
     async def wait_for_next_poll(
         self, name: str, server: Server, renewed: bool
     ) -> None:
@@ -397,102 +416,3 @@
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-
-
-async def begin_term(
-    context: Context, leadership: Leadership, candidacy: Candidacy
-) -> Term | None:
-    """Take over from an earlier planner; None if the term ends meanwhile."""
-    fence = leadership.term
-    recorder = Recorder(
-        context.store,
-        context.journal,
-        fence,
-        context.settings.store.append_limit_bytes,
-        lambda: leadership.term == fence,
-    )
-    if not await recorder.fence_earlier_terms():
-        if leadership.term == fence:
-            leadership.end_term("a later planner has taken over")
-        return None
-    directory = ServerDirectory(context.store, context.journal)
-    feed = make_server_feed(directory, SERVER_LIST_PERIOD_SECONDS)
-    while not (await context.work_feed.catch_up() and await feed.read_newest()):
-        if leadership.term != fence:
-            return None
-        await asyncio.sleep(TICK_PERIOD_SECONDS)
-    bounds = context.settings.bounds
-    now = read_clock()
-    state = PlannerState(
-        limits=Limits(
-            bounds.lease_limit_seconds,
-            bounds.gang_wait_seconds,
-            bounds.stop_grace_seconds,
-            bounds.remote_factor,
-        ),
-        fence=fence,
-        took_over_at=now,
-        unix_offset=context.unix_clock.offset,
-    )
-    update_servers(state, directory.list_entries(), now)
-    restore_jobs(state, context.ledger, now)
-    context.journal.write(
-        "planner.took_over",
-        context.settings.vm,
-        term=fence,
-        jobs=len(state.jobs),
-        servers=len(state.servers),
-    )
-    client = ServerClient(context.http)
-    lost_candidates = candidacy.list_lost_candidates()
-    term = Term(
-        context, leadership, recorder, client, directory, state, lost_candidates
-    )
-    term.spawn(feed.follow_forever())
-    return term
-
-
-@dataclass
-class PlannerRunner:
-    """Runs a term whenever this daemon is elected.
-
-    Attributes
-    ----------
-    context : Context
-        Shared objects of the daemon.
-    leadership : Leadership
-        Membership in the planner group.
-    candidacy : Candidacy
-        Heartbeats and lost candidates.
-    term : Term or None
-        Current term; None while this daemon does not plan.
-    """
-
-    context: Context
-    leadership: Leadership
-    candidacy: Candidacy
-    term: Term | None = None
-
-    async def run_forever(self) -> None:
-        """Run terms until cancelled."""
-        feed = self.context.work_feed
-        while True:
-            feed.pause_seconds = 0.0 if self.leadership.term else FOLLOWER_WAIT_SECONDS
-            if not self.leadership.term:
-                self.leadership.term_changed.clear()
-                await self.leadership.term_changed.wait()
-                continue
-            self.term = await begin_term(self.context, self.leadership, self.candidacy)
-            if self.term is None:
-                continue
-            try:
-                await self.term.run()
-            finally:
-                await self.term.close()
-                self.term = None
-
-    def handle_change(self, change: Change) -> None:
-        """Pass a ledger change to the retention and the current term."""
-        self.context.retention.handle_change(self.context.ledger, change, read_clock())
-        if self.term is not None:
-            self.term.handle_change(change)
--- a/src/cardamomdyke/control/feeds.py
+++ b/src/cardamomdyke/control/feeds.py
@@ -6,6 +6,7 @@
 
 from cardamomdyke.control.clock import read_clock
 from cardamomdyke.control.journal import Journal
+from cardamomdyke.control.supervision import log_crash
 from cardamomdyke.platform.records import (
     KeyedRecord,
     RecordPage,
@@ -111,10 +112,17 @@
         records = page.records[applied_count:]
         self.next_offset = page.next_offset
         for record in records:
-            self.apply(record)
+            self.apply_safely(record)
         if records:
             self.notify()
 
+    def apply_safely(self, record: KeyedRecord) -> None:
+        """Apply one record; one that raises an unexpected error is left out."""
+        try:
+            self.apply(record)
+        except Exception as error:
+            log_crash(self.journal, f"{self.topic}/{record.key}", error)
+
     async def read_newest(self) -> bool:
         """Replace all records by the newest of each key."""
         known_offset = self.next_offset
@@ -137,7 +145,7 @@
             self.reset()
             for page in pages:
                 for record in page.records:
-                    self.apply(record)
+                    self.apply_safely(record)
             # Later pages may contain records from beyond the first page's end, which
             # are applied again.
             self.next_offset = pages[0].partition_end
--- a/src/cardamomdyke/control/leadership.py
+++ b/src/cardamomdyke/control/leadership.py
@@ -21,6 +21,9 @@
 # Authority ends this much before the membership in the store, because clocks run at
 # different speeds.
 AUTHORITY_MARGIN_SECONDS = 0.1
+# Pause after a term that failed. The membership has expired by then, even if the store
+# does not answer, and another daemon plans.
+PAUSE_SECONDS = 2.0 * MEMBERSHIP_SECONDS
 
 
 @dataclass
@@ -50,6 +53,8 @@
         Returns whether to join the group without a term.
     in_group : bool
         True when the store may count this daemon as a member.
+    paused_until : float
+        Until when this daemon stays out of the group, in seconds of `clock`.
     clock : callable
         Steady clock, in seconds.
     """
@@ -64,6 +69,7 @@
     term_changed: asyncio.Event = field(default_factory=asyncio.Event)
     is_candidate: Callable[[], bool] = lambda: True
     in_group: bool = False
+    paused_until: float = 0.0
     clock: Callable[[], float] = read_clock
 
     @property
@@ -74,7 +80,7 @@
     async def join_forever(self) -> None:
         """Join periodically while this daemon is a candidate or plans."""
         while True:
-            if not self.term and not self.is_candidate():
+            if not self.term and not self.may_join():
                 await self.step_down()
                 await asyncio.sleep(JOIN_PERIOD_SECONDS)
                 continue
@@ -97,6 +103,10 @@
             elapsed_seconds = self.clock() - sent_at
             await asyncio.sleep(max(0.0, JOIN_PERIOD_SECONDS - elapsed_seconds))
 
+    def may_join(self) -> bool:
+        """Return whether to be in the group without a term."""
+        return self.clock() >= self.paused_until and self.is_candidate()
+
     async def step_down(self) -> None:
         """Leave the group when no longer a candidate."""
         if not self.in_group:
@@ -110,6 +120,8 @@
 
     def handle_join_answer(self, membership: Membership, sent_at: float) -> None:
         """Begin, extend or end a term; the join was sent at `sent_at` of `clock`."""
+        if sent_at < self.paused_until:
+            return
         expired = self.clock() >= self.authority_until
         generation_changed = membership.generation != self.generation
         self.generation = membership.generation
@@ -138,6 +150,17 @@
         self.authority_until = 0.0
         self.term_changed.set()
 
+    def abandon_term(self, reason: str) -> None:
+        """End the current term, and stay out of the group until it has changed.
+
+        A second term of the same generation could not be told from the first by the
+        store, which recognises appends by generation and sequence number.
+        """
+        if not self.term:
+            return
+        self.end_term(reason)
+        self.paused_until = self.clock() + PAUSE_SECONDS
+
     async def leave(self) -> None:
         """Leave the group, so that another daemon plans at once."""
         self.end_term("this daemon shuts down")
--- a/src/cardamomdyke/daemon/callers.py
+++ b/src/cardamomdyke/daemon/callers.py
@@ -5,7 +5,6 @@
 from uuid import uuid4
 
 from expression import Error, Ok, Result
-from msgspec import DecodeError, ValidationError
 from msgspec.json import decode, encode
 from tornado.ioloop import IOLoop
 from tornado.web import stream_request_body
@@ -14,7 +13,7 @@
 from cardamomdyke.daemon.jobs import JobManager
 from cardamomdyke.daemon.node import Node
 from cardamomdyke.daemon.replies import write_problem, write_reply
-from cardamomdyke.model.errors import Problem, ProblemKind, make_problem
+from cardamomdyke.model.errors import DECODE_ERRORS, Problem, ProblemKind, make_problem
 from cardamomdyke.model.jobs import FINAL_STATES, JobSpecification, JobState, JobStatus
 from cardamomdyke.model.outcomes import NotKnown, NotRun, describe_outcome
 from cardamomdyke.model.requests import ShortRequest
@@ -134,7 +133,7 @@
         """Decode the JSON body, or return why it is invalid."""
         try:
             return Ok(decode(self.read_body(), type=body_type))
-        except (DecodeError, ValidationError) as error:
+        except DECODE_ERRORS as error:
             return Error(make_problem(ProblemKind.BAD_REQUEST, f"body: {error}"))
 
 
--- a/src/cardamomdyke/daemon/job_log.py
+++ b/src/cardamomdyke/daemon/job_log.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from msgspec import DecodeError, ValidationError
 from msgspec.json import Decoder, encode
 
 from cardamomdyke.daemon.node import Node
+from cardamomdyke.model.errors import DECODE_ERRORS
 from cardamomdyke.model.jobs import JobSpecification, JobStatus
 
 JOBS_STREAM = "jobs"
@@ -191,7 +191,7 @@
         self.next_offset = offset + 1
         try:
             batch = _BATCH_DECODER.decode(data)
-        except (DecodeError, ValidationError):
+        except DECODE_ERRORS:
             self.node.counters.count("jobs.record_malformed")
             return
         for entry in batch.entries:
--- a/src/cardamomdyke/daemon/takeover.py
+++ b/src/cardamomdyke/daemon/takeover.py
@@ -4,7 +4,6 @@
 import time
 from dataclasses import dataclass
 
-from msgspec import DecodeError, ValidationError
 from msgspec.json import Decoder, encode
 
 from cardamomdyke.adapters.backend import LeaseCall, TaskReport
@@ -33,6 +32,7 @@
     SuspectServersCleared,
 )
 from cardamomdyke.membership.view import HEARTBEAT_TIMEOUT_SECONDS, Member
+from cardamomdyke.model.errors import DECODE_ERRORS
 from cardamomdyke.model.jobs import JobSpecification, JobState
 from cardamomdyke.protocol.gen.ttypes import JobAction, JobCall
 
@@ -225,7 +225,7 @@
                 continue
             try:
                 specification = _SPECIFICATION_DECODER.decode(report.specification)
-            except (DecodeError, ValidationError):
+            except DECODE_ERRORS:
                 self.node.counters.count("jobs.inventory_malformed")
                 continue
             self.planner.add_job(
--- a/src/cardamomdyke/jobs/records.py
+++ b/src/cardamomdyke/jobs/records.py
@@ -4,9 +4,10 @@
 from enum import StrEnum
 
 from expression import Error, Ok, Result
-from msgspec import DecodeError, Struct, ValidationError
+from msgspec import Struct
 from msgspec.msgpack import Decoder, encode
 
+from cardamomdyke.model.errors import DECODE_ERRORS
 from cardamomdyke.model.orders import JobOrder
 
 JOB_PREFIX = "j"
@@ -166,7 +167,7 @@
     """Decode an accepted job; the error says why it cannot be read."""
     try:
         return Ok(_JOB_DECODER.decode(data))
-    except (DecodeError, ValidationError) as error:
+    except DECODE_ERRORS as error:
         return Error(str(error))
 
 
@@ -179,5 +180,5 @@
     """Decode the progress of a job; the error says why it cannot be read."""
     try:
         return Ok(_PROGRESS_DECODER.decode(data))
-    except (DecodeError, ValidationError) as error:
+    except DECODE_ERRORS as error:
         return Error(str(error))
--- a/src/cardamomdyke/membership/peers.py
+++ b/src/cardamomdyke/membership/peers.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass
 
 from expression import Error, Ok, Result
-from msgspec import DecodeError, ValidationError
 from msgspec.json import Decoder, encode
 
+from cardamomdyke.model.errors import DECODE_ERRORS
+
 # Prefix of announcements' keys.
 PEER_PREFIX = "d"
 # Key of the planner's heartbeat.
@@ -46,5 +47,5 @@
     """Decode an announcement; the error says why it cannot be read."""
     try:
         return Ok(_DECODER.decode(data))
-    except (DecodeError, ValidationError) as error:
+    except DECODE_ERRORS as error:
         return Error(str(error))
--- a/src/cardamomdyke/metering/records.py
+++ b/src/cardamomdyke/metering/records.py
@@ -4,9 +4,10 @@
 from enum import StrEnum
 
 from expression import Error, Ok, Result
-from msgspec import DecodeError, ValidationError
 from msgspec.json import Decoder, encode
 
+from cardamomdyke.model.errors import DECODE_ERRORS
+
 USAGE_STREAM = "usage"
 
 
@@ -235,5 +236,5 @@
         if _KIND_DECODER.decode(data).kind is UsageRecordKind.BATCH:
             return Ok(_BATCH_DECODER.decode(data))
         return Ok(_SUMMARY_DECODER.decode(data))
-    except (DecodeError, ValidationError) as error:
+    except DECODE_ERRORS as error:
         return Error(str(error))
--- a/src/cardamomdyke/model/errors.py
+++ b/src/cardamomdyke/model/errors.py
@@ -3,6 +3,12 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec import DecodeError, ValidationError
+
+# What msgspec raises for input that it cannot decode. Deeply nested input, also in
+# fields that are ignored, exceeds the interpreter's recursion limit.
+DECODE_ERRORS = (DecodeError, ValidationError, RecursionError)
+
 
 class ProblemKind(StrEnum):
     """Every kind of problem that is reported to callers or operators."""
--- a/src/cardamomdyke/platform/servers.py
+++ b/src/cardamomdyke/platform/servers.py
@@ -5,12 +5,13 @@
 from typing import Any
 
 from expression import Error, Ok, Result
-from msgspec import DecodeError, Struct, ValidationError, field
+from msgspec import Struct, field
 from msgspec.json import Decoder, encode
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPResponse
 
 from cardamomdyke.adapters.http import HttpCall, TransportFaultKind, send_call
+from cardamomdyke.model.errors import DECODE_ERRORS
 from cardamomdyke.model.orders import Shape, TaskId
 from cardamomdyke.model.servers import (
     CallFault,
@@ -128,7 +129,7 @@
     """
     try:
         wire = _ENTRY_DECODER.decode(data)
-    except (DecodeError, ValidationError) as error:
+    except DECODE_ERRORS as error:
         return Error(str(error))
     if wire.state not in DRAINING_BY_STATE:
         return Error(f"state {wire.state!r} is unknown")
@@ -283,7 +284,7 @@
             return Error(result.error)
         try:
             return Ok(_convert_lists(_LISTS_DECODER.decode(result.ok.body)))
-        except (DecodeError, ValidationError, ValueError) as error:
+        except (*DECODE_ERRORS, ValueError) as error:
             detail = f"{entry.name} answered with malformed lists: {error}"
             return Error(CallFault(False, None, detail))
 
@@ -295,7 +296,7 @@
             return Error(result.error)
         try:
             clock = _ANSWER_DECODER.decode(result.ok.body).clock_ms
-        except (DecodeError, ValidationError) as error:
+        except DECODE_ERRORS as error:
             return Error(
                 CallFault(
                     False, None, f"{entry.name} answered with a malformed body: {error}"
@@ -341,7 +342,7 @@
     code = response.code
     try:
         answer = _ANSWER_DECODER.decode(response.body or b"{}")
-    except (DecodeError, ValidationError):
+    except DECODE_ERRORS:
         answer = _Answer()
     clock = None if answer.clock_ms is None else answer.clock_ms / MILLISECONDS
     detail = f"{entry.name} answered {code} {answer.reason}".rstrip()
--- a/src/cardamomdyke/platform/settings.py
+++ b/src/cardamomdyke/platform/settings.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass
 
 from expression import Error, Ok, Result
-from msgspec import DecodeError, Struct, ValidationError, field
+from msgspec import Struct, field
 from msgspec.json import Decoder
 
-from cardamomdyke.model.errors import Problem, ProblemKind, make_problem
+from cardamomdyke.model.errors import DECODE_ERRORS, Problem, ProblemKind, make_problem
 
 # Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE = "CARDAMOMDYKE_CONFIG"
@@ -149,7 +149,7 @@
     """
     try:
         wire = _DECODER.decode(data)
-    except (DecodeError, ValidationError) as error:
+    except DECODE_ERRORS as error:
         message = f"the platform's settings file cannot be used: {error}"
         return Error(make_problem(ProblemKind.INVALID_SETTING, message))
     return Ok(
--- a/src/cardamomdyke/platform/store.py
+++ b/src/cardamomdyke/platform/store.py
@@ -6,12 +6,13 @@
 from urllib.parse import urlencode
 
 from expression import Error, Ok, Result
-from msgspec import DecodeError, Struct, ValidationError
+from msgspec import Struct
 from msgspec.json import Decoder, encode
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPResponse
 
 from cardamomdyke.adapters.http import HttpCall, TransportFaultKind, send_call
+from cardamomdyke.model.errors import DECODE_ERRORS
 from cardamomdyke.platform.records import (
     KeyedRecord,
     RecordPage,
@@ -272,7 +273,7 @@
                 KeyedRecord(item.key, b64decode(item.value or "", validate=True))
                 for item in wire.items
             )
-        except (DecodeError, ValidationError, ValueError) as error:
+        except (*DECODE_ERRORS, ValueError) as error:
             return Error(_make_malformed(error))
         return Ok(NewestPage(wire.end_offset, records, wire.has_more))
 
@@ -321,7 +322,7 @@
             return Error(result.error)
         try:
             wire = _JOINED_DECODER.decode(result.ok.body)
-        except (DecodeError, ValidationError) as error:
+        except DECODE_ERRORS as error:
             return Error(_make_malformed(error))
         partitions = frozenset(part for name, part, _ in wire.parts if name == topic)
         return Ok(Membership(wire.generation, partitions))
@@ -384,7 +385,7 @@
     if code == 409:
         try:
             refusal = _REFUSAL_DECODER.decode(body)
-        except (DecodeError, ValidationError):
+        except DECODE_ERRORS:
             return StoreFault(StoreFaultKind.NOT_DONE, detail)
         if refusal.reason == "fenced":
             return StoreFault(StoreFaultKind.FENCED, f"{detail}, fenced")
--- a/src/cardamomdyke/platform/submissions.py
+++ b/src/cardamomdyke/platform/submissions.py
@@ -1,9 +1,10 @@
 """Decodes jobs that callers submit, and encodes the answers."""
 
 from expression import Error, Ok, Result
-from msgspec import DecodeError, Struct, ValidationError, field
+from msgspec import Struct, field
 from msgspec.json import Decoder, encode
 
+from cardamomdyke.model.errors import DECODE_ERRORS
 from cardamomdyke.model.orders import JobOrder, Shape, StepOrder
 
 MILLISECONDS = 1000.0
@@ -60,7 +61,7 @@
     """
     try:
         wire = _DECODER.decode(data)
-    except (DecodeError, ValidationError) as error:
+    except DECODE_ERRORS as error:
         return Error(str(error))
     return Ok(
         JobOrder(
--- a/src/cardamomdyke/platform/tables.py
+++ b/src/cardamomdyke/platform/tables.py
@@ -1,9 +1,10 @@
 """Decodes configurations and evacuations that the platform's operators publish."""
 
 from expression import Error, Ok, Result
-from msgspec import DecodeError, Struct, ValidationError, field
+from msgspec import Struct, field
 from msgspec.json import Decoder
 
+from cardamomdyke.model.errors import DECODE_ERRORS
 from cardamomdyke.model.orders import Shape
 from cardamomdyke.model.queues import (
     Account,
@@ -94,7 +95,7 @@
     """
     try:
         wire = _DECODER.decode(data)
-    except (DecodeError, ValidationError) as error:
+    except DECODE_ERRORS as error:
         return Error(str(error))
     routes = tuple(_convert_route(route) for route in wire.routes)
     pools = {
