Do not take an answer from before a pause for contact with the store

Cause: the answer to a long poll waits in the socket while a process is paused. Read after the pause it renewed the contact, so the daemon served for up to 0.7 s more with the configuration and the keys of before the pause. Change: the daemon notices that it has not run for 0.5 s, and an answer to a call from before the pause does not count. Figures: the new test fails without the check (contact at 105.0 s instead of 100.0 s). Conclusion: after a pause a request goes through a peer until the store has answered a new call.

--- a/src/cardamomdyke/control/app.py
+++ b/src/cardamomdyke/control/app.py
@@ -268,6 +268,7 @@
             "planner": planner_runner.run_forever,
             "settings": reloader.watch_forever,
             "clock": context.unix_clock.record_readings_forever,
+            "pauses": context.store.contact.watch_pauses_forever,
         }.items()
     ]
     journal.write("daemon.started", settings.vm, domain=settings.failure_domain)
--- a/src/cardamomdyke/platform/store.py
+++ b/src/cardamomdyke/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's store: a log with partitions, keys and groups."""
 
+import asyncio
 from base64 import b64decode
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -120,6 +121,8 @@
 
 # Weight of an answer in the mean; two or three joins, 0.2 s apart, show a change.
 ANSWER_WEIGHT = 0.4
+# A process that did not run for this long may read answers that are as old.
+PAUSE_SECONDS = 0.5
 
 
 @dataclass
@@ -129,7 +132,7 @@
     Attributes
     ----------
     clock : callable
-        Steady clock, in seconds.
+        Steady clock, in seconds; counts suspended time.
     observe : callable
         Takes the path and the duration in seconds of each call.
     answered_at : float
@@ -137,19 +140,46 @@
         none.
     answer_seconds : float
         Moving average of call durations.
+    ran_at : float
+        When the process last ran, in seconds of `clock`; 0 before the first time.
+    resumed_at : float
+        End of the process's last pause, in seconds of `clock`; 0 for none.
     """
 
     clock: Callable[[], float]
     observe: Callable[[str, float], None]
     answered_at: float = 0.0
     answer_seconds: float = 0.0
+    ran_at: float = 0.0
+    resumed_at: float = 0.0
+
+    def record_running(self) -> None:
+        """Record that the process runs, and whether it was paused before."""
+        now = self.clock()
+        if self.ran_at and now - self.ran_at > PAUSE_SECONDS:
+            self.resumed_at = now
+        self.ran_at = now
 
     def record_answer(self, seconds: float, counts_for_mean: bool) -> None:
-        """Record an answer; long polls and pages do not count for the mean duration."""
-        self.answered_at = self.clock()
+        """Record an answer; long polls and pages do not count for the mean duration.
+
+        An answer to a call from before a pause may have waited since the pause began,
+        so it does not show that the store can be reached now.
+        """
+        self.record_running()
+        now = self.clock()
+        if now - seconds < self.resumed_at:
+            return
+        self.answered_at = now
         if counts_for_mean:
             self.answer_seconds += ANSWER_WEIGHT * (seconds - self.answer_seconds)
 
+    async def watch_pauses_forever(self) -> None:
+        """Notice pauses of the process, until cancelled."""
+        while True:
+            self.record_running()
+            await asyncio.sleep(PAUSE_SECONDS / 5)
+
 
 @dataclass(frozen=True)
 class StoreClient:
--- a/tests/control/test_relay.py
+++ b/tests/control/test_relay.py
@@ -25,6 +25,7 @@
 )
 from cardamomdyke.membership.peers import Peer
 from cardamomdyke.platform.records import StoreFault, StoreFaultKind
+from cardamomdyke.platform.store import StoreContact
 from cardamomdyke.protocol.gen.ttypes import RelayCall, RelayReply
 from tests.control.fakes import make_context, make_request
 
@@ -249,3 +250,33 @@
         assert retry_after[0] < retry_after[1]
 
     asyncio.run(scenario())
+
+
+def test_answer_from_before_a_pause_is_no_contact() -> None:
+    """Guards against a paused process that serves with the keys of before its pause.
+
+    The answer to a poll waits in the socket while the process stands still. Read
+    afterwards, it seemed to show that the store was in reach.
+    """
+    now = 100.0
+    contact = StoreContact(lambda: now, lambda path, seconds: None)
+    contact.record_running()
+    contact.record_answer(0.01, True)
+    answered_at = contact.answered_at
+    now += 5.0
+    contact.record_answer(5.0, False)
+    assert contact.answered_at == answered_at
+    now += 0.02
+    contact.record_answer(0.01, True)
+    assert contact.answered_at == now
+
+
+def test_long_poll_of_a_running_process_is_contact() -> None:
+    """Guards against a daemon that seems cut off since its polls take seconds."""
+    now = 100.0
+    contact = StoreContact(lambda: now, lambda path, seconds: None)
+    for _ in range(20):
+        contact.record_running()
+        now += 0.1
+    contact.record_answer(2.0, False)
+    assert contact.answered_at == now
