Let callers come back after one second again

Cause: callers give up 3 s after their first try. Change: Retry-After is 1 s throughout; refusals at once stay.

--- a/src/cardamomdyke/control/processor.py
+++ b/src/cardamomdyke/control/processor.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from functools import singledispatchmethod
 
 from expression import Error, Ok, Result
@@ -20,7 +20,6 @@
     JobRecord,
     encode_job,
 )
-from cardamomdyke.jobs.refusals import choose_retry_after
 from cardamomdyke.model.queues import Account, QueueRoute, QueueTables, find_route
 from cardamomdyke.platform.records import KeyedRecord, StoreFaultKind
 from cardamomdyke.platform.submissions import (
@@ -30,7 +29,8 @@
     encode_waiting,
 )
 
-# Retry-After of refusals because of a fault or a missing configuration.
+# Retry-After of refusals because of a fault or a missing configuration. Callers give up
+# 3 s after their first try, so a longer pause would cost them their last tries.
 RETRY_AFTER_SECONDS = 1
 # A state query about a running job waits this long for its end. Callers tend to query
 # when they expect it, and an end takes up to 0.15 s to reach every daemon.
@@ -461,10 +461,6 @@
     def refuse(self, subject: str, refusal: Refusal) -> CallerAnswer:
         """Log a refusal and return its answer."""
         contact_age = read_clock() - self.context.store.contact.answered_at
-        if refusal.kind == NOT_REACHED.kind:
-            refusal = replace(
-                refusal, retry_after_seconds=choose_retry_after(contact_age)
-            )
         self.context.journal.write(
             "request.refused",
             subject,
@@ -472,7 +468,6 @@
             reason=refusal.kind,
             detail=refusal.detail,
             contact_age=round(contact_age, 3),
-            retry_after=refusal.retry_after_seconds,
         )
         return make_answer(refusal)
 
