Measure the free capacity of a pool where its headroom is made

Cause: read-through; the free capacity was optional and passed beside the headroom that holds it. Change: the headroom is made for the first unit of batch work in a pass, with the free capacity of that moment. Conclusion: no change of behaviour.

--- a/src/cardamomdyke/planner/drafts.py
+++ b/src/cardamomdyke/planner/drafts.py
@@ -101,9 +101,12 @@
 
 
 def find_headroom(draft: Draft, pool: str) -> Headroom | None:
-    """Return the headroom of a pool, computed once per pass."""
+    """Return the headroom of a pool, computed for the first unit of batch work."""
     if pool not in draft.headrooms:
-        draft.headrooms[pool] = make_headroom(draft.state, pool, draft.now)
+        pool_capacity = find_pool_capacity(draft, pool)
+        draft.headrooms[pool] = make_headroom(
+            draft.state, pool, pool_capacity, draft.now
+        )
     return draft.headrooms[pool]
 
 
--- a/src/cardamomdyke/planner/headroom.py
+++ b/src/cardamomdyke/planner/headroom.py
@@ -47,6 +47,8 @@
         Number of servers that the pool lists.
     total : Shape
         Capacity of a server.
+    free : float
+        Free capacity that batch work has not taken in this pass.
     urgent : float
         Kept free for urgent jobs.
     waiting : float
@@ -54,16 +56,14 @@
     underused : bool
         True when so little of the pool is in use that waiting work must not be held
         back for long.
-    free : float or None
-        Free capacity; None until the first unit of batch work is considered.
     """
 
     servers: int
     total: Shape
+    free: float
     urgent: float
     waiting: float = 0.0
     underused: bool = False
-    free: float | None = None
 
 
 def record_arrival(state: PlannerState, job: Job) -> None:
@@ -72,8 +72,27 @@
     state.urgent_arrivals.append(arrival)
 
 
-def make_headroom(state: PlannerState, pool: str, now: float) -> Headroom | None:
-    """Return the headroom of a pool, or None for a pool without servers."""
+def make_headroom(
+    state: PlannerState, pool: str, pool_capacity: PoolCapacity, now: float
+) -> Headroom | None:
+    """Return the headroom of a pool, or None for a pool without servers.
+
+    Parameters
+    ----------
+    state : PlannerState
+        State of the planner; forgets urgent arrivals of long ago.
+    pool : str
+        Name of the pool.
+    pool_capacity : PoolCapacity
+        Free capacity, after the placement of urgent work.
+    now : float
+        Steady-clock seconds.
+
+    Returns
+    -------
+    Headroom or None
+        What batch work must leave free in this pass.
+    """
     totals = [
         server.entry.capacity
         for server in state.servers.values()
@@ -98,7 +117,8 @@
         HEADROOM_SECONDS * demand / DEMAND_PERIOD_SECONDS,
     )
     underused = measure_use(state, pool, totals) < MIN_USED_SHARE
-    return Headroom(len(totals), largest, urgent, underused=underused)
+    free = measure_free(pool_capacity)
+    return Headroom(len(totals), largest, free, urgent, underused=underused)
 
 
 def measure_share(shape: Shape, total: Shape) -> float:
@@ -152,17 +172,13 @@
     return len(list_indices(step, unit)) * measure_share(step.shape, headroom.total)
 
 
-def check_headroom(
-    headroom: Headroom, free: float, job: Job, unit: Unit, now: float
-) -> bool:
+def check_headroom(headroom: Headroom, job: Job, unit: Unit, now: float) -> bool:
     """Check that a unit which is not urgent leaves the headroom free.
 
     Parameters
     ----------
     headroom : Headroom
         Headroom of the job's pool.
-    free : float
-        Free capacity of the pool, in whole servers.
     job : Job
         Job of the unit.
     unit : Unit
@@ -177,7 +193,7 @@
     """
     kept = headroom.urgent + headroom.waiting
     need = measure_need(job, unit, headroom)
-    if not kept or need <= free - kept:
+    if not kept or need <= headroom.free - kept:
         return True
     idle = all(other.attempt is None for other in job.units.values())
     waited = now - (unit.ready_since or now)
@@ -185,7 +201,7 @@
         headroom.underused
         and idle
         and waited >= MAX_IDLE_WAIT_SECONDS
-        and free >= MIN_SPARE_FACTOR * need
+        and headroom.free >= MIN_SPARE_FACTOR * need
     )
 
 
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -15,7 +15,6 @@
 from cardamomdyke.planner.headroom import (
     check_headroom,
     hold_for_gang,
-    measure_free,
     measure_need,
 )
 from cardamomdyke.planner.occurrences import update_occurrences
@@ -158,11 +157,8 @@
     headroom = find_headroom(draft, job.record.pool)
     if headroom is None:
         return False
-    if headroom.free is None:
-        headroom.free = measure_free(pool_capacity)
-    if check_headroom(headroom, headroom.free, job, unit, draft.now) and place_unit(
-        draft, pool_capacity, job, unit
-    ):
+    may_start = check_headroom(headroom, job, unit, draft.now)
+    if may_start and place_unit(draft, pool_capacity, job, unit):
         headroom.free -= measure_need(job, unit, headroom)
         return True
     hold_for_gang(headroom, job, unit)
--- a/tests/planner/test_headroom.py
+++ b/tests/planner/test_headroom.py
@@ -11,6 +11,7 @@
     hold_for_gang,
     make_headroom,
 )
+from cardamomdyke.planner.placement import PoolCapacity
 from cardamomdyke.planner.progress import add_job
 from cardamomdyke.planner.state import Job, Limits, PlannerState, Unit, make_units
 from cardamomdyke_standins.platform_server import StepPlan
@@ -43,8 +44,8 @@
     return next(iter(job.units.values()))
 
 
-def make_headroom_of(urgent: float, underused: bool = False) -> Headroom:
-    return Headroom(SERVERS, SERVER, urgent, underused=underused)
+def make_headroom_of(free: float, urgent: float, underused: bool = False) -> Headroom:
+    return Headroom(SERVERS, SERVER, free, urgent, underused=underused)
 
 
 def test_urgent_gangs_start_without_stops_on_a_busy_pool() -> None:
@@ -123,28 +124,28 @@
         job_id = f"{number:016x}"
         record = JobRecord(job_id, "q", "a", POOL, 0, 2, 1.5, 0.25, 0.0, order)
         add_job(state, record, number * 0.1)
-        headroom = make_headroom(state, POOL, number * 0.1)
+        headroom = make_headroom(state, POOL, PoolCapacity(), number * 0.1)
         assert headroom is not None
         headrooms.append(headroom.urgent)
     assert 0 < headrooms[0] < headrooms[1]
     assert headrooms[-1] == MAX_URGENT_SHARE * SERVERS
-    later = make_headroom(state, POOL, 60.0)
+    later = make_headroom(state, POOL, PoolCapacity(), 60.0)
     assert later is not None and later.urgent == 0
 
 
 def test_small_tasks_leave_free_capacity_to_a_waiting_gang() -> None:
     """Guards against small tasks that take each server before a gang fits."""
-    headroom = make_headroom_of(0.0)
+    headroom = make_headroom_of(1.0, 0.0)
     gang = make_job(StepOrder(8, Shape(1000, 100, 8), gang=True), 1)
     task = make_job(StepOrder(1, Shape(1000, 100, 1)), 2)
-    assert check_headroom(headroom, 1.0, task, find_unit(task), 0.0)
+    assert check_headroom(headroom, task, find_unit(task), 0.0)
     hold_for_gang(headroom, gang, find_unit(gang))
-    assert not check_headroom(headroom, 1.0, task, find_unit(task), 0.0)
+    assert not check_headroom(headroom, task, find_unit(task), 0.0)
 
 
 def test_single_task_holds_nothing_back() -> None:
     """Guards against a large task that stops all other batch work while it waits."""
-    headroom = make_headroom_of(0.0)
+    headroom = make_headroom_of(1.0, 0.0)
     task = make_job(StepOrder(1, Shape(1000, 100, 8)), 1)
     hold_for_gang(headroom, task, find_unit(task))
     assert headroom.waiting == 0
@@ -159,7 +160,7 @@
     unit = find_unit(job)
     unit.ready_since = 0.001
     late = MAX_IDLE_WAIT_SECONDS + 0.1
-    underused = make_headroom_of(4.0, underused=True)
-    assert not check_headroom(underused, 2.0, job, unit, 0.1)
-    assert check_headroom(underused, 2.0, job, unit, late)
-    assert not check_headroom(make_headroom_of(4.0), 2.0, job, unit, late)
+    underused = make_headroom_of(2.0, 4.0, underused=True)
+    assert not check_headroom(underused, job, unit, 0.1)
+    assert check_headroom(underused, job, unit, late)
+    assert not check_headroom(make_headroom_of(2.0, 4.0), job, unit, late)
