Place jobs beyond their account's share after the others

Cause: a client account that sends many times its usual delayed all others, since jobs of one priority were placed in the order of arrival, although the configuration gives each account a weight. Change: jobs that an account submits faster than its weight, in jobs a second with a burst of 2 s, rank after the other jobs of their priority. Accounts without a weight are not limited. Conclusion: a hot account delays itself; its jobs are served in the end.

--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -69,9 +69,9 @@
         move_long_running(draft, job)
 
 
-def rank_job(job: Job) -> tuple[int, float]:
-    """Return the sort key of a job: priority, then arrival."""
-    return job.record.priority, job.arrived_at
+def rank_job(job: Job) -> tuple[int, bool, float]:
+    """Return the sort key of a job: priority, its account's share, then arrival."""
+    return job.record.priority, job.beyond_share, job.arrived_at
 
 
 def find_guaranteed(state: PlannerState, jobs: Iterable[Job]) -> frozenset[str]:
--- a/src/cardamomdyke/planner/progress.py
+++ b/src/cardamomdyke/planner/progress.py
@@ -19,6 +19,7 @@
 from cardamomdyke.planner.headroom import record_arrival
 from cardamomdyke.planner.leases import find_inherited_expiry
 from cardamomdyke.planner.occurrences import open_next, open_occurrences
+from cardamomdyke.planner.shares import check_share
 from cardamomdyke.planner.state import (
     Attempt,
     Job,
@@ -179,6 +180,7 @@
         return
     state.known_job_ids.add(record.job_id)
     job = state.jobs[record.job_id] = Job(record, now)
+    job.beyond_share = not check_share(state, job)
     if job.is_urgent:
         record_arrival(state, job)
     open_occurrences(state, job, now)
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -204,6 +204,8 @@
         True once a task has started.
     ended_at : float
         Unix time of the end, in seconds; 0 before.
+    beyond_share : bool
+        True if its client account had submitted faster than agreed.
     """
 
     record: JobRecord
@@ -214,6 +216,7 @@
     phase: JobPhase = JobPhase.QUEUED
     begun: bool = False
     ended_at: float = 0.0
+    beyond_share: bool = False
 
     @property
     def job_id(self) -> str:
@@ -313,6 +316,22 @@
     suspended_until: float = 0.0
 
 
+@dataclass(slots=True)
+class ShareBalance:
+    """Jobs that an account may submit now within its share.
+
+    Attributes
+    ----------
+    jobs : float
+        Number of jobs; a submission takes one.
+    updated_at : float
+        Steady-clock seconds.
+    """
+
+    jobs: float
+    updated_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     """Limits of the deployment that the planner depends on.
@@ -368,6 +387,8 @@
         True once a server has reported a higher fencing token.
     urgent_arrivals : deque of UrgentArrival
         Recent arrivals of urgent jobs, the oldest first.
+    share_balances : dict of str to ShareBalance
+        Balances of the client accounts that have a weight, by name.
     """
 
     limits: Limits
@@ -383,6 +404,7 @@
     actions: list[Action] = field(default_factory=list)
     superseded: bool = False
     urgent_arrivals: deque[UrgentArrival] = field(default_factory=deque)
+    share_balances: dict[str, ShareBalance] = field(default_factory=dict)
 
     def note(self, kind: str, subject: str, **facts: object) -> None:
         """Add an action that writes a log line."""
