End only the own term after an error, and log the place without its path

Cause: read-through. A task of a term that had ended already could have ended the daemon's next one. Change: the term is abandoned only while it is current; the log line names file and line. Conclusion: no other change of behaviour.

--- a/src/cardamomdyke/control/driver.py
+++ b/src/cardamomdyke/control/driver.py
@@ -126,7 +126,8 @@
             await coroutine
         except Exception as error:
             log_crash(self.context.journal, "planner", error)
-            self.leadership.abandon_term("an unexpected error")
+            if self.is_current:
+                self.leadership.abandon_term("an unexpected error")
             self.inputs_changed.set()
 
     async def run(self) -> None:
--- a/src/cardamomdyke/control/processor.py
+++ b/src/cardamomdyke/control/processor.py
@@ -460,14 +460,13 @@
 
     def refuse(self, subject: str, refusal: Refusal) -> CallerAnswer:
         """Log a refusal and return its answer."""
-        contact_age = read_clock() - self.context.store.contact.answered_at
         self.context.journal.write(
             "request.refused",
             subject,
             code=refusal.code,
             reason=refusal.kind,
             detail=refusal.detail,
-            contact_age=round(contact_age, 3),
+            contact_age=round(read_clock() - self.context.store.contact.answered_at, 3),
         )
         return make_answer(refusal)
 
--- a/src/cardamomdyke/control/supervision.py
+++ b/src/cardamomdyke/control/supervision.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from traceback import extract_tb
 
 from cardamomdyke.control.journal import Journal
@@ -35,5 +36,5 @@
 def log_crash(journal: Journal, name: str, error: Exception) -> None:
     """Log an unexpected error with the place that raised it."""
     frames = extract_tb(error.__traceback__)
-    place = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+    place = f"{Path(frames[-1].filename).name}:{frames[-1].lineno}" if frames else ""
     journal.write("task.crashed", name, error=repr(error), place=place)
