--- a/src/cardamomdyke/adapters/http.py
+++ b/src/cardamomdyke/adapters/http.py
@@ -98,17 +98,13 @@
     progress_timeout_seconds: int = 0
 
 
-def make_http_client(
-    source_host: str = "", max_clients: int = MAX_CLIENTS
-) -> CurlAsyncHTTPClient:
+def make_http_client(source_host: str = "") -> CurlAsyncHTTPClient:
     """Create a curl client for the running event loop.
 
     Parameters
     ----------
     source_host : str
         Source IP address of outgoing connections; empty for any.
-    max_clients : int
-        Largest number of concurrent calls; further ones wait.
 
     Returns
     -------
@@ -117,7 +113,7 @@
     """
     defaults = {"network_interface": source_host} if source_host else {}
     return CurlAsyncHTTPClient(
-        force_instance=True, max_clients=max_clients, defaults=defaults
+        force_instance=True, max_clients=MAX_CLIENTS, defaults=defaults
     )
 
 
--- a/src/cardamomdyke/control/terms.py
+++ b/src/cardamomdyke/control/terms.py
@@ -1,10 +1,8 @@
 """Begins and ends this daemon's terms as planner."""
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass
 
-from cardamomdyke.adapters.http import make_http_client
 from cardamomdyke.control.candidacy import Candidacy
 from cardamomdyke.control.clock import read_clock
 from cardamomdyke.control.context import (
@@ -28,41 +26,12 @@
 # Each append ends the long poll of every daemon, and each poll has a cost. Daemons
 # that do not plan pause this long, so that one poll brings several records.
 FOLLOWER_WAIT_SECONDS = 0.1
-# Each server with runs has a long poll in flight, so starts and stops need further
-# clients. Servers may be added during a term.
-CLIENTS_PER_SERVER = 2
-EXTRA_CLIENTS = 128
-
-
-def count_clients(servers: int) -> int:
-    """Return how many concurrent calls a planner of some servers may make."""
-    return EXTRA_CLIENTS + CLIENTS_PER_SERVER * servers
 
 
 async def begin_term(
-    context: Context,
-    leadership: Leadership,
-    candidacy: Candidacy,
-    find_client: Callable[[int], ServerClient],
+    context: Context, leadership: Leadership, candidacy: Candidacy
 ) -> Term | None:
-    """Take over from an earlier planner; None if the term ends meanwhile.
-
-    Parameters
-    ----------
-    context : Context
-        Shared objects of the daemon.
-    leadership : Leadership
-        Membership in the planner group, with a term.
-    candidacy : Candidacy
-        Heartbeats and lost candidates.
-    find_client : callable
-        Takes a number of backend servers and returns a client for them.
-
-    Returns
-    -------
-    Term or None
-        The term, ready to run.
-    """
+    """Take over from an earlier planner; None if the term ends meanwhile."""
     fence = leadership.term
     recorder = Recorder(
         context.store,
@@ -109,7 +78,7 @@
         jobs=len(state.jobs),
         servers=len(state.servers),
     )
-    client = find_client(len(state.servers))
+    client = ServerClient(context.http)
     lost_candidates = candidacy.list_lost_candidates()
     term = Term(
         context, leadership, recorder, client, directory, state, lost_candidates
@@ -132,27 +101,12 @@
         Heartbeats and lost candidates.
     term : Term or None
         Current term; None while this daemon does not plan.
-    client : ServerClient or None
-        Client of the backend servers; None before the first term.
-    max_clients : int
-        Largest number of concurrent calls of `client`.
     """
 
     context: Context
     leadership: Leadership
     candidacy: Candidacy
     term: Term | None = None
-    client: ServerClient | None = None
-    max_clients: int = 0
-
-    def find_client(self, servers: int) -> ServerClient:
-        """Return a client for this many servers; a larger one where that is needed."""
-        needed = count_clients(servers)
-        if self.client is None or needed > self.max_clients:
-            self.max_clients = needed
-            http = make_http_client(self.context.settings.host, needed)
-            self.client = ServerClient(http)
-        return self.client
 
     async def run_forever(self) -> None:
         """Run terms until cancelled."""
@@ -168,9 +122,7 @@
     async def run_term(self) -> None:
         """Run one term to its end; an unexpected error ends it."""
         try:
-            self.term = await begin_term(
-                self.context, self.leadership, self.candidacy, self.find_client
-            )
+            self.term = await begin_term(self.context, self.leadership, self.candidacy)
             if self.term is not None:
                 await self.term.run()
         except Exception as error:
