Log each run that is lost with its server

Cause: server.given_up and server.reborn name no job, so the log cannot tell whether a task's runs are lost with servers that restart, and how soon after their start. Change: a line run.lost with unit, run, server, cause and the time for which the run was seen.

--- a/src/cardamomdyke/planner/polls.py
+++ b/src/cardamomdyke/planner/polls.py
@@ -171,6 +171,9 @@
     """Reset the state of a restarted server and end the runs that it has lost."""
     previous = server.instance
     server.instance = lists.instance
+    for job, unit, member in list_holders(state, server):
+        if member.instance not in (0, lists.instance):
+            note_lost_run(state, job, unit, member, "the server restarted")
     if not previous:
         return
     state.note("server.reborn", server.entry.name, former=previous, life=lists.instance)
@@ -372,9 +375,27 @@
     )
     server.unknown_runs.clear()
     for job, unit, member in list_holders(state, server):
+        note_lost_run(state, job, unit, member, reason)
         end_member(state, job, unit, member, EndKind.LAPSED, now)
 
 
+def note_lost_run(
+    state: PlannerState, job: Job, unit: Unit, member: Member, cause: str
+) -> None:
+    """Log a run that was lost with its server, and how long it was seen to run."""
+    state.note(
+        "run.lost",
+        job.job_id,
+        unit=unit.key,
+        index=member.index,
+        run=unit.last_run,
+        server=member.server,
+        cause=cause,
+        phase=member.phase.value,
+        seen_for=round(max(0.0, member.confirmed_at - member.sent_at), 3),
+    )
+
+
 def measure_free_capacity(server: Server) -> Shape:
     """Return a server's capacity less the resources of its runs."""
     used = [*server.holders.values(), *server.unknown_runs.values()]
