--- a/src/cardamomdyke_standins/platform_server.py
+++ b/src/cardamomdyke_standins/platform_server.py
@@ -35,6 +35,8 @@
         Runs up to this number fail at their end.
     saves : bool
         True when the tasks write checkpoints.
+    crashing_index : int
+        Index of the task that crashes each server which starts it; -1 for none.
     """
 
     seconds: float = 1.0
@@ -42,6 +44,7 @@
     gang: bool = False
     failing_runs: int = 0
     saves: bool = False
+    crashing_index: int = -1
 
 
 def encode_plan(steps: list[StepPlan]) -> str:
