Give up a task after three crashes of servers at its start

Callers saw: a job that runs for ever, and other jobs that lose their work with each server that it crashes. Cause: a run that is lost with its server is no failed attempt, so nothing bounds the starts of a task that crashes each server. Change: a proven crash (a new instance, or another server at the address) counts against runs that had just started there; a run that was listed for a second is not counted, nor is silence. Counts are part of the progress record. A suspect task starts where all other runs have outlived their starts, on an idle server if there is one, and nothing starts beside it; so a sound task is cleared and a crash has one suspect. At the third crash the job fails.

--- a/src/cardamomdyke/jobs/records.py
+++ b/src/cardamomdyke/jobs/records.py
@@ -114,6 +114,10 @@
     began_at : float
         Unix time of the last run's start in seconds, by the clock of the VM that
         planned it. Gives a rough age only; 0 when not known.
+    crashes : tuple of (int, int)
+        Index of a task and run number of each start at which its server crashed.
+    silent_starts : tuple of (int, int)
+        The same of starts after which the server fell silent.
     """
 
     occurrence: int
@@ -125,6 +129,8 @@
     checkpoint: str = ""
     members: tuple[MemberRecord, ...] = ()
     began_at: float = 0.0
+    crashes: tuple[tuple[int, int], ...] = ()
+    silent_starts: tuple[tuple[int, int], ...] = ()
 
 
 class JobProgress(Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/src/cardamomdyke/planner/crashes.py
@@ -0,0 +1,293 @@
+"""Crashes of backend servers under a task, and the limit of its starts.
+
+A task that crashes each server which starts it would take down one server after the
+other. A crash counts against the runs that had just started on the server, and only
+with proof that the server crashed: a new instance of it, or another server at its
+address. Silence is no proof.
+"""
+
+from collections.abc import Mapping
+
+from cardamomdyke.jobs.records import JobPhase
+from cardamomdyke.model.servers import ServerEntry
+from cardamomdyke.planner.attempts import end_job, stop_job
+from cardamomdyke.planner.state import (
+    Attempt,
+    Job,
+    LapsedRun,
+    Limits,
+    Member,
+    MemberPhase,
+    PlannerState,
+    Server,
+    Unit,
+    UnitKey,
+)
+
+# A run that is listed this long after all tasks of its unit have started has outlived
+# its start, and a later crash of the server does not count against it.
+START_RISK_SECONDS = 1.0
+# The platform lets a task be given up after two crashes. The third one spares a sound
+# task that was twice on a server that crashed for another reason.
+CRASH_LIMIT = 3
+# A server that crashed is back after some seconds. One that is not back by then is
+# taken as gone for another reason.
+CRASH_PROOF_SECONDS = 30.0
+
+
+def outlived_start(
+    limits: Limits, unit: Unit, attempt: Attempt, member: Member
+) -> bool:
+    """Check that a run was seen for long enough after its start.
+
+    Parameters
+    ----------
+    limits : Limits
+        Limits of the deployment.
+    unit : Unit
+        Unit of the run.
+    attempt : Attempt
+        Current attempt of the unit.
+    member : Member
+        Member of the attempt.
+
+    Returns
+    -------
+    bool
+        True if a later crash of its server has another cause.
+    """
+    if attempt.working_since:
+        if member.confirmed_at - attempt.working_since >= START_RISK_SECONDS:
+            return True
+    # The crashes of a unit are dropped from its record once it has outlived its start.
+    if unit.crashes or (member.index, attempt.run) in unit.silent_starts:
+        return False
+    # Records do not say how long an earlier planner saw the run, only when it began.
+    seen_at = max(member.confirmed_at, member.sent_at)
+    age = seen_at - attempt.started_at
+    return member.inherited and age >= limits.gang_wait_seconds + START_RISK_SECONDS
+
+
+def is_suspect(state: PlannerState, job: Job, unit: Unit) -> bool:
+    """Return whether servers crashed at the starts of a unit, or may have."""
+    return (job.job_id, unit.key) in state.suspect_units
+
+
+def charge_crash(
+    state: PlannerState,
+    server: Server,
+    job: Job,
+    unit: Unit,
+    member: Member,
+    now: float,
+) -> None:
+    """Count a proven crash of a server against a run that had just started there.
+
+    Parameters
+    ----------
+    state : PlannerState
+        Modified in place.
+    server : Server
+        Server that crashed.
+    job : Job
+        Job of the unit; it fails at the limit of crashes.
+    unit : Unit
+        Unit of the run.
+    member : Member
+        Member of the unit's attempt that was sent to the server.
+    now : float
+        Steady-clock seconds.
+    """
+    attempt = unit.attempt
+    if attempt is not None and may_have_crashed(state, server, unit, attempt, member):
+        count_crash(state, job, unit, member.index, attempt.run, member.server, now)
+
+
+def may_have_crashed(
+    state: PlannerState, server: Server, unit: Unit, attempt: Attempt, member: Member
+) -> bool:
+    """Return whether a run may be the reason that its server is gone."""
+    if member.phase not in (MemberPhase.STARTING, MemberPhase.RUNNING):
+        return False
+    # A start that was sent to a silent server came after the crash.
+    sent_before = not server.failing_since or member.sent_at <= server.failing_since
+    if server.entry.draining or not sent_before:
+        return False
+    return not outlived_start(state.limits, unit, attempt, member)
+
+
+def count_crash(
+    state: PlannerState,
+    job: Job,
+    unit: Unit,
+    index: int,
+    run: int,
+    server_name: str,
+    now: float,
+) -> None:
+    """Count one crash against a task, and fail its job at the limit."""
+    if job.is_final or unit.done or (index, run) in unit.crashes:
+        return
+    unit.silent_starts.discard((index, run))
+    unit.crashes.add((index, run))
+    state.suspect_units.add((job.job_id, unit.key))
+    state.mark_changed(job)
+    crashes = sum(crashed == index for crashed, _ in unit.crashes)
+    state.note(
+        "task.suspected",
+        job.job_id,
+        unit=unit.key,
+        index=index,
+        run=run,
+        server=server_name,
+        crashes=crashes,
+        limit=CRASH_LIMIT,
+    )
+    if crashes >= CRASH_LIMIT:
+        reason = (
+            f"{crashes} backend servers crashed when task {index} of {unit.key} started"
+        )
+        end_job(state, job, JobPhase.FAILED, reason, now)
+        stop_job(state, job, "job failed", now)
+
+
+def mark_silent_start(
+    state: PlannerState, server: Server, job: Job, unit: Unit, member: Member
+) -> None:
+    """Record that a server fell silent after a start, so that a new planner knows it.
+
+    The record of a run alone does not tell whether it had outlived its start.
+    """
+    attempt = unit.attempt
+    if attempt is None or unit.done or job.is_final:
+        return
+    if may_have_crashed(state, server, unit, attempt, member):
+        unit.silent_starts.add((member.index, attempt.run))
+        state.suspect_units.add((job.job_id, unit.key))
+        state.mark_changed(job)
+
+
+def clear_silent_start(
+    state: PlannerState, job: Job, unit: Unit, member: Member
+) -> None:
+    """Drop the suspicion of a run whose server answers again and still lists it."""
+    if unit.attempt is None:
+        return
+    start = (member.index, unit.attempt.run)
+    if start in unit.silent_starts:
+        unit.silent_starts.discard(start)
+        state.mark_changed(job)
+
+
+def remember_lapsed_run(
+    state: PlannerState,
+    server: Server,
+    job: Job,
+    unit: Unit,
+    member: Member,
+    now: float,
+) -> None:
+    """Keep a run that was lost at its start with a silent server, until proof."""
+    attempt = unit.attempt
+    if attempt is None or (member.index, attempt.run) not in unit.silent_starts:
+        return
+    state.lapsed_runs.append(
+        LapsedRun(
+            member.server,
+            member.instance,
+            server.entry.address,
+            job.job_id,
+            unit.key,
+            member.index,
+            attempt.run,
+            now,
+        )
+    )
+
+
+def resolve_lapsed_runs(
+    state: PlannerState, listed: Mapping[str, ServerEntry], now: float
+) -> None:
+    """Count crashes of silent servers whose new instances are listed by now.
+
+    Parameters
+    ----------
+    state : PlannerState
+        Modified in place.
+    listed : mapping of str to ServerEntry
+        Listed servers by name.
+    now : float
+        Steady-clock seconds.
+    """
+    if not state.lapsed_runs:
+        return
+    names = {entry.address: entry.name for entry in listed.values() if entry.address}
+    pending = []
+    for lapsed in state.lapsed_runs:
+        entry = listed.get(lapsed.server)
+        restarted = entry is not None and entry.instance not in (0, lapsed.instance)
+        if restarted or names.get(lapsed.address, lapsed.server) != lapsed.server:
+            job = state.jobs.get(lapsed.job_id)
+            unit = job.units.get(lapsed.unit_key) if job is not None else None
+            if job is not None and unit is not None:
+                count_crash(
+                    state, job, unit, lapsed.index, lapsed.run, lapsed.server, now
+                )
+        elif now - lapsed.lapsed_at < CRASH_PROOF_SECONDS:
+            pending.append(lapsed)
+    state.lapsed_runs = pending
+
+
+def clear_suspect(state: PlannerState, job: Job, unit: Unit) -> None:
+    """Drop the crashes counted against a unit, once it has outlived its start."""
+    attempt = unit.attempt
+    if attempt is None or not is_suspect(state, job, unit):
+        return
+    members = attempt.members.values()
+    if not all(outlived_start(state.limits, unit, attempt, item) for item in members):
+        return
+    state.suspect_units.discard((job.job_id, unit.key))
+    state.lapsed_runs = [
+        item
+        for item in state.lapsed_runs
+        if (item.job_id, item.unit_key) != (job.job_id, unit.key)
+    ]
+    if unit.crashes or unit.silent_starts:
+        unit.crashes.clear()
+        unit.silent_starts.clear()
+        state.mark_changed(job)
+    state.note("task.cleared", job.job_id, unit=unit.key, run=attempt.run)
+
+
+def list_suspect_indices(unit: Unit) -> set[int]:
+    """Return the tasks of a unit at whose starts servers crashed, or may have."""
+    return {index for index, _ in unit.crashes | unit.silent_starts}
+
+
+def find_watched_servers(state: PlannerState) -> set[str]:
+    """Return the servers that are to start nothing beside a suspect task.
+
+    Suspect units that are gone or done are forgotten.
+    """
+    watched: set[str] = set()
+    for job_id, key in list(state.suspect_units):
+        unit = find_live_unit(state, job_id, key)
+        if unit is None:
+            state.suspect_units.discard((job_id, key))
+        elif unit.attempt is not None:
+            members = unit.attempt.members
+            watched |= {
+                members[index].server
+                for index in list_suspect_indices(unit)
+                if index in members and members[index].phase is not MemberPhase.ENDED
+            }
+    return watched
+
+
+def find_live_unit(state: PlannerState, job_id: str, key: UnitKey) -> Unit | None:
+    """Return a unit that is not done, of a job that has not ended; else None."""
+    job = state.jobs.get(job_id)
+    if job is None or job.is_final:
+        return None
+    unit = job.units.get(key)
+    return None if unit is None or unit.done else unit
--- /dev/null
+++ b/src/cardamomdyke/planner/isolation.py
@@ -0,0 +1,90 @@
+"""Placement of suspect tasks, apart from work that a crash would disturb or blame.
+
+A crash counts against all runs that had just started on the server, so a suspect task
+starts where every other run has outlived its start, and nothing starts beside it until
+it has outlived its own.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from cardamomdyke.planner.crashes import outlived_start
+from cardamomdyke.planner.drafts import Draft
+from cardamomdyke.planner.placement import (
+    PoolCapacity,
+    choose_servers,
+    close_server,
+)
+from cardamomdyke.planner.seeking import count_placed, filter_data_rack
+from cardamomdyke.planner.state import (
+    Job,
+    PlannerState,
+    Unit,
+    list_holders,
+    list_indices,
+)
+
+# A suspect unit waits this long for a server that nothing has to be kept from. The
+# platform counts a job as lost that waits 3 s while its pool has capacity.
+ISOLATION_WAIT_SECONDS = 1.0
+
+
+def choose_isolated_servers(
+    draft: Draft, pool_capacity: PoolCapacity, job: Job, unit: Unit
+) -> list[str] | None:
+    """Choose servers for a suspect unit, or None if none are suitable.
+
+    Idle servers come first, since a crash there disturbs nobody. Results are not
+    cached in the draft, which would hold for other units too.
+    """
+    step = job.find_step(unit)
+    count = len(list_indices(step, unit))
+    placed = count_placed(job, unit) if step.server_limit else Counter()
+    idle = filter_servers(pool_capacity, find_idle(draft.state))
+    settled = filter_servers(pool_capacity, find_settled(draft.state))
+    for candidates in (idle, settled):
+        for capacity in (filter_data_rack(candidates, step), candidates):
+            names = choose_servers(capacity, step, count, placed, unit.avoided_servers)
+            if names is not None:
+                return names
+    return None
+
+
+def filter_servers(pool_capacity: PoolCapacity, names: set[str]) -> PoolCapacity:
+    """Return the part of a pool's capacity on some servers."""
+    return PoolCapacity(
+        {
+            name: capacity
+            for name, capacity in pool_capacity.by_name.items()
+            if name in names
+        }
+    )
+
+
+def find_idle(state: PlannerState) -> set[str]:
+    """Return the servers without runs."""
+    return {
+        name
+        for name, server in state.servers.items()
+        if not server.holders and not server.unknown_runs
+    }
+
+
+def find_settled(state: PlannerState) -> set[str]:
+    """Return the servers on which every run has outlived its start."""
+    return {
+        name
+        for name, server in state.servers.items()
+        if not server.unknown_runs
+        and all(
+            unit.attempt is not None
+            and outlived_start(state.limits, unit, unit.attempt, member)
+            for _, unit, member in list_holders(state, server)
+        )
+    }
+
+
+def close_servers(pool_capacity: PoolCapacity, names: Iterable[str]) -> None:
+    """Keep the rest of a plan from starting anything on some servers."""
+    for name in names:
+        close_server(pool_capacity.by_name[name])
--- a/src/cardamomdyke/planner/placement.py
+++ b/src/cardamomdyke/planner/placement.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from cardamomdyke.model.orders import Shape, StepOrder
+from cardamomdyke.planner.crashes import find_watched_servers
 from cardamomdyke.planner.polls import measure_free_capacity
 from cardamomdyke.planner.state import PlannerState, Server
 
@@ -58,8 +59,9 @@
 def make_pool_capacity(state: PlannerState, pool: str, now: float) -> PoolCapacity:
     """Return the free capacity of a pool's usable servers."""
     pool_capacity = PoolCapacity()
+    watched = find_watched_servers(state)
     for name, server in state.servers.items():
-        if check_usable(state, server, pool, now):
+        if name not in watched and check_usable(state, server, pool, now):
             free = measure_free_capacity(server)
             pool_capacity.by_name[name] = ServerCapacity(
                 name,
@@ -109,6 +111,11 @@
     capacity.accelerators -= shape.accelerators * count
 
 
+def close_server(capacity: ServerCapacity) -> None:
+    """Leave nothing of a server free in this pass."""
+    capacity.millicores = capacity.memory_mb = capacity.accelerators = 0
+
+
 def fits_all(pool_capacity: PoolCapacity, names: Iterable[str], shape: Shape) -> bool:
     """Check that a task fits each time that a server is named."""
     for name, count in Counter(names).items():
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -11,12 +11,18 @@
     reclaim_capacity,
     release_reservation,
 )
+from cardamomdyke.planner.crashes import is_suspect
 from cardamomdyke.planner.drafts import Draft, find_headroom, find_pool_capacity
 from cardamomdyke.planner.headroom import (
     check_headroom,
     hold_for_gang,
     measure_need,
 )
+from cardamomdyke.planner.isolation import (
+    ISOLATION_WAIT_SECONDS,
+    choose_isolated_servers,
+    close_servers,
+)
 from cardamomdyke.planner.occurrences import update_occurrences
 from cardamomdyke.planner.placement import PoolCapacity, fits_all, take_capacity
 from cardamomdyke.planner.quotas import (
@@ -132,6 +138,9 @@
         if step_number in unplaceable_steps:
             continue
         release_reservation(draft, pool_capacity, job, unit)
+        if is_suspect(draft.state, job, unit):
+            place_suspect(draft, pool_capacity, job, unit)
+            continue
         if job.is_urgent or job.find_step(unit).long_running:
             placed = place_with_priority(draft, pool_capacity, job, unit)
         else:
@@ -140,6 +149,41 @@
             unplaceable_steps.add(step_number)
 
 
+def place_suspect(
+    draft: Draft, pool_capacity: PoolCapacity, job: Job, unit: Unit
+) -> None:
+    """Start a suspect unit apart from other starts, or free servers for it.
+
+    Other work is preempted for it only after a wait, since it is likely to crash its
+    server again.
+    """
+    if not job.is_urgent:
+        headroom = find_headroom(draft, job.record.pool)
+        if headroom is None or not check_headroom(headroom, job, unit, draft.now):
+            return
+    if not check_quota(draft, job, unit):
+        return
+    names = choose_isolated_servers(draft, pool_capacity, job, unit)
+    if names is not None:
+        unit.reserved_servers = ()
+        start_unit(draft, pool_capacity, job, unit, names)
+        close_servers(pool_capacity, names)
+    elif draft.now - unit.ready_since >= ISOLATION_WAIT_SECONDS:
+        free_servers(draft, pool_capacity, job, unit)
+
+
+def free_servers(
+    draft: Draft, pool_capacity: PoolCapacity, job: Job, unit: Unit
+) -> None:
+    """Start nothing more on the servers that a suspect unit can use soonest."""
+    if job.is_urgent or job.find_step(unit).long_running:
+        reclaim_capacity(draft, pool_capacity, job, unit)
+        names: list[str] | None = list(unit.reserved_servers)
+    else:
+        names = choose_unit_servers(draft, pool_capacity, job, unit)
+    close_servers(pool_capacity, names or [])
+
+
 def place_with_priority(
     draft: Draft, pool_capacity: PoolCapacity, job: Job, unit: Unit
 ) -> bool:
@@ -193,11 +237,9 @@
 
 def place_unit(draft: Draft, pool_capacity: PoolCapacity, job: Job, unit: Unit) -> bool:
     """Create an attempt for a unit if it fits, preferably on its reserved servers."""
-    step = job.find_step(unit)
-    indices = list_indices(step, unit)
-    account = job.record.account
-    if not check_allowance(draft.allowances, account, step.shape, len(indices)):
+    if not check_quota(draft, job, unit):
         return False
+    step = job.find_step(unit)
     placed = count_placed(job, unit) if step.server_limit else Counter()
     names = choose_unit_servers(draft, pool_capacity, job, unit)
     if unit.reserved_servers and fits_all(
@@ -210,9 +252,30 @@
         )
     if names is None:
         return False
+    start_unit(draft, pool_capacity, job, unit, names)
+    return True
+
+
+def check_quota(draft: Draft, job: Job, unit: Unit) -> bool:
+    """Check that a unit fits the unused quota of its client account."""
+    step = job.find_step(unit)
+    count = len(list_indices(step, unit))
+    return check_allowance(draft.allowances, job.record.account, step.shape, count)
+
+
+def start_unit(
+    draft: Draft,
+    pool_capacity: PoolCapacity,
+    job: Job,
+    unit: Unit,
+    names: list[str],
+) -> None:
+    """Create an attempt of a unit on these servers, and subtract what it takes."""
+    step = job.find_step(unit)
+    indices = list_indices(step, unit)
     for name in names:
         take_capacity(pool_capacity.by_name[name], step.shape)
-    use_allowance(draft.allowances, account, step.shape, len(indices))
+    use_allowance(draft.allowances, job.record.account, step.shape, len(indices))
     placements = dict(zip(indices, names, strict=True))
     guaranteed = job.job_id in draft.guaranteed
     create_attempt(draft.state, job, unit, placements, draft.now, guaranteed)
@@ -225,4 +288,3 @@
         gang=unit.key[2] == GANG_INDEX,
         waited=round(draft.now - job.arrived_at, 3),
     )
-    return True
--- a/src/cardamomdyke/planner/polls.py
+++ b/src/cardamomdyke/planner/polls.py
@@ -17,6 +17,14 @@
     end_member,
     send_stop,
 )
+from cardamomdyke.planner.crashes import (
+    charge_crash,
+    clear_silent_start,
+    clear_suspect,
+    mark_silent_start,
+    remember_lapsed_run,
+    resolve_lapsed_runs,
+)
 from cardamomdyke.planner.leases import (
     ClockReading,
     estimate_clock,
@@ -83,6 +91,7 @@
             state.note("server.unlisted", name, holders=len(server.holders))
         if not server.holders and not server.unknown_runs:
             del state.servers[name]
+    resolve_lapsed_runs(state, listed, now)
 
 
 def make_poll_order(
@@ -171,17 +180,20 @@
     """Reset the state of a restarted server and end the runs that it has lost."""
     previous = server.instance
     server.instance = lists.instance
+    present = {(report.task, report.run) for report in lists.running}
+    present |= {(end.task, end.run) for end in lists.ended}
     for job, unit, member in list_holders(state, server):
-        if member.instance not in (0, lists.instance):
+        if member.instance in (0, lists.instance) or unit.attempt is None:
+            continue
+        if (job.make_task_id(unit, member.index), unit.attempt.run) not in present:
             note_lost_run(state, job, unit, member, "the server restarted")
+            charge_crash(state, server, job, unit, member, now)
     if not previous:
         return
     state.note("server.reborn", server.entry.name, former=previous, life=lists.instance)
     server.processed_end = server.acknowledged = server.confirmed_end = 0
     server.unknown_runs.clear()
     clear_suspicion(server)
-    present = {(report.task, report.run) for report in lists.running}
-    present |= {(end.task, end.run) for end in lists.ended}
     for job, unit, member in list_holders(state, server):
         if unit.attempt is None or member.phase is not MemberPhase.RUNNING:
             continue
@@ -283,10 +295,22 @@
     if member.phase is MemberPhase.STARTING:
         member.phase = MemberPhase.RUNNING
         mark_begun(state, job)
+        start_work(unit, now)
+    clear_silent_start(state, job, unit, member)
+    clear_suspect(state, job, unit)
     if member.stop_requested and not member.stop_sent_at:
         send_stop(state, job, unit, member, now)
 
 
+def start_work(unit: Unit, now: float) -> None:
+    """Record the time from which all tasks of a unit's attempt are running."""
+    attempt = unit.attempt
+    if attempt is not None and all(
+        item.phase is MemberPhase.RUNNING for item in attempt.members.values()
+    ):
+        attempt.working_since = now
+
+
 def end_missing_members(
     state: PlannerState,
     server: Server,
@@ -341,7 +365,11 @@
     if not server.failing_since:
         server.failing_since = now
         state.note("server.lost", name, detail=fault.detail)
+        for job, unit, member in list_holders(state, server):
+            mark_silent_start(state, server, job, unit, member)
     if fault.refusal is RefusalKind.OTHER_LIFE:
+        for job, unit, member in list_holders(state, server):
+            charge_crash(state, server, job, unit, member, now)
         release_server(state, server, "another server answers at its address", now)
         server.listed = False
 
@@ -356,6 +384,8 @@
                 send_stop(state, job, unit, member, now)
         silent = server.failing_since > 0
         if silent and server.holders and now >= find_server_expiry(state, server):
+            for job, unit, member in list_holders(state, server):
+                remember_lapsed_run(state, server, job, unit, member, now)
             release_server(state, server, "its leases have expired", now)
 
 
--- a/src/cardamomdyke/planner/progress.py
+++ b/src/cardamomdyke/planner/progress.py
@@ -103,6 +103,8 @@
         unit.checkpoint,
         members,
         began_at,
+        tuple(sorted(unit.crashes)),
+        tuple(sorted(unit.silent_starts)),
     )
 
 
@@ -241,6 +243,10 @@
         unit.last_run = record.run
         unit.failed_runs = set(record.failed_runs)
         unit.checkpoint = record.checkpoint
+        unit.crashes = set(record.crashes)
+        unit.silent_starts = set(record.silent_starts)
+        if unit.crashes or unit.silent_starts:
+            state.suspect_units.add((job.job_id, unit.key))
         if record.members:
             restore_attempt(state, job, unit, record, now)
 
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -103,6 +103,8 @@
         True when it uses its client account's guarantee.
     reason : str
         Why the members are being stopped; empty if they are not.
+    working_since : float
+        Since when all members are confirmed; 0 before.
     """
 
     run: int
@@ -112,6 +114,7 @@
     checkpoint_seen_at: float = 0.0
     guaranteed: bool = False
     reason: str = ""
+    working_since: float = 0.0
 
 
 # Only jobs of this priority are urgent and covered by a client account's guarantee.
@@ -167,6 +170,11 @@
         Since when it waits only for resources; 0 if it does not.
     reserved_servers : tuple of str
         One server per task, on which resources are being freed for it.
+    crashes : set of (int, int)
+        Index of a task and run number of each start at which its server crashed.
+    silent_starts : set of (int, int)
+        The same of starts after which the server fell silent, until it is known
+        whether it crashed.
     """
 
     key: UnitKey
@@ -180,6 +188,8 @@
     not_before: float = 0.0
     ready_since: float = 0.0
     reserved_servers: tuple[str, ...] = ()
+    crashes: set[tuple[int, int]] = field(default_factory=set)
+    silent_starts: set[tuple[int, int]] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -316,6 +326,40 @@
     suspended_until: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class LapsedRun:
+    """A run that was lost at its start with a server that stays silent.
+
+    Attributes
+    ----------
+    server : str
+        Name of the server.
+    instance : int
+        Instance to which the start was addressed.
+    address : str
+        Address of the server.
+    job_id : str
+        Job of the run.
+    unit_key : UnitKey
+        Unit of the run.
+    index : int
+        Index of the task within its step.
+    run : int
+        Number of the run.
+    lapsed_at : float
+        When the server's leases had expired, in steady-clock seconds.
+    """
+
+    server: str
+    instance: int
+    address: str
+    job_id: str
+    unit_key: UnitKey
+    index: int
+    run: int
+    lapsed_at: float
+
+
 @dataclass(slots=True)
 class ShareBalance:
     """Jobs that an account may submit now within its share.
@@ -389,6 +433,10 @@
         Recent arrivals of urgent jobs, the oldest first.
     share_balances : dict of str to ShareBalance
         Balances of the client accounts that have a weight, by name.
+    suspect_units : set of (str, UnitKey)
+        Units at whose starts servers crashed, or may have, by job id and key.
+    lapsed_runs : list of LapsedRun
+        Runs that were lost at their start with servers that are silent since.
     """
 
     limits: Limits
@@ -405,6 +453,8 @@
     superseded: bool = False
     urgent_arrivals: deque[UrgentArrival] = field(default_factory=deque)
     share_balances: dict[str, ShareBalance] = field(default_factory=dict)
+    suspect_units: set[tuple[str, UnitKey]] = field(default_factory=set)
+    lapsed_runs: list[LapsedRun] = field(default_factory=list)
 
     def note(self, kind: str, subject: str, **facts: object) -> None:
         """Add an action that writes a log line."""
--- a/tests/planner/crash_world.py
+++ b/tests/planner/crash_world.py
@@ -1,7 +1,7 @@
 """Simulation in which tasks crash the backend servers that start them."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from cardamomdyke.jobs.records import JobRecord
 from cardamomdyke.model.orders import TaskId
@@ -63,12 +63,17 @@
         self.schedule(self.restart_seconds, lambda: self.return_server(server))
 
     def return_server(self, server: PlatformServer) -> None:
+        if server.up:
+            return
         if not self.renames_servers:
             server.restart(self.now)
             self.list_server(server.name)
             return
         self.replaced.add(server.name)
-        self.add_server(f"{server.name}-next", server.capacity, server.rack)
+        name = f"{server.name}-next"
+        self.add_server(name, server.capacity, server.rack)
+        address = self.listed[server.name].address
+        self.listed[name] = replace(self.listed[name], address=address)
         self.schedule(
             ENTRY_LIFETIME_SECONDS, lambda: self.listed.pop(server.name, None)
         )
--- a/tests/planner/test_crashes.py
+++ b/tests/planner/test_crashes.py
@@ -1,8 +1,10 @@
 """Tasks that crash backend servers, and sound tasks beside them."""
 
 import pytest
+from msgspec.msgpack import encode
+from msgspec.structs import astuple
 
-from cardamomdyke.jobs.records import JobPhase
+from cardamomdyke.jobs.records import JobPhase, UnitRecord, decode_progress
 from cardamomdyke.model.orders import Shape, StepOrder
 from cardamomdyke_standins.platform_server import StepPlan
 from tests.planner.crash_world import CrashWorld
@@ -33,3 +35,153 @@
     world.run_for(60.0)
     assert world.violations == []
     assert world.find_phase(DEADLY) is JobPhase.FAILED
+
+
+@pytest.mark.parametrize("renames_servers", [False, True])
+def test_sound_tasks_beside_a_crashing_task_complete(renames_servers: bool) -> None:
+    """Guards against sound tasks that are given up with the task beside them.
+
+    All start at the same time on the same server, and wait for servers together.
+    """
+    world = make_world(renames_servers=renames_servers)
+    world.submit(DEADLY, [(make_step(1, 1), StepPlan(1.0, crashing_index=0))])
+    world.submit(SOUND, [(make_step(7, 1), StepPlan(3.0, 7))])
+    world.run_for(60.0)
+    assert world.violations == []
+    assert world.find_phase(DEADLY) is JobPhase.FAILED
+    assert world.find_phase(SOUND) is JobPhase.COMPLETED
+
+
+def test_sound_tasks_share_one_server_with_a_crashing_task() -> None:
+    """Guards against sound tasks that crash with the same task again and again.
+
+    Only one server is left, so suspect tasks have to start there one after the other.
+    """
+    world = make_world(servers=1)
+    world.submit(DEADLY, [(make_step(2, 1), StepPlan(1.0, 2, crashing_index=0))])
+    world.submit(SOUND, [(make_step(2, 1, long_running=True), StepPlan(1e6, 2))])
+    world.run_for(60.0)
+    world.check_final_phases()
+    assert world.violations == []
+    assert world.find_phase(DEADLY) is JobPhase.FAILED
+
+
+def test_suspect_task_starts_on_an_idle_server() -> None:
+    """Guards against a second crash that takes other work with it."""
+    world = make_world()
+    step, plan = make_step(1, 1), StepPlan(30.0)
+    world.submit(SOUND, [(step, plan)])
+    world.run_for(0.5)
+    world.submit(DEADLY, [(step, StepPlan(1.0, crashing_index=0))])
+    world.run_for(30.0)
+    (crashes,) = (
+        crashes for task, crashes in world.crashes_under.items() if task.job_id == SOUND
+    )
+    assert len(crashes) == 1
+    assert world.find_phase(DEADLY) is JobPhase.FAILED
+
+
+@pytest.mark.parametrize("wait", [0.05, 1.0, 3.5, 5.0])
+def test_crashes_stay_counted_over_takeovers(wait: float) -> None:
+    """Guards against a new planner that starts counting again.
+
+    The planner is killed after each crash, before and after the server is back.
+    """
+    world = make_world()
+    world.submit(DEADLY, [(make_step(1, 1), StepPlan(1.0, crashing_index=0))])
+    for _ in range(12):
+        known = sum(map(len, world.crashes_under.values()))
+        for _ in range(100):
+            world.run_for(0.1)
+            if sum(map(len, world.crashes_under.values())) > known:
+                break
+        world.run_for(wait)
+        world.planner.alive = False
+        world.take_over()
+    assert world.violations == []
+    assert world.find_phase(DEADLY) is JobPhase.FAILED
+
+
+def test_gang_with_a_crashing_member_is_given_up() -> None:
+    """Guards against a gang that takes down a server at each start."""
+    world = make_world()
+    gang = make_step(3, 8, gang=True)
+    world.submit(DEADLY, [(gang, StepPlan(1.0, 3, gang=True, crashing_index=1))])
+    world.submit(SOUND, [(gang, StepPlan(4.0, 3, gang=True))])
+    world.run_for(60.0)
+    assert world.violations == []
+    assert world.find_phase(DEADLY) is JobPhase.FAILED
+    assert world.find_phase(SOUND) is JobPhase.COMPLETED
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_sound_work_on_servers_that_crash_later_completes(gang: bool) -> None:
+    """Guards against work that is given up since its servers crash again and again."""
+    world = make_world()
+    step = make_step(2, 8, gang=gang)
+    world.submit(SOUND, [(step, StepPlan(3.0, 2, gang=gang))])
+    for _ in range(6):
+        world.run_for(2.5)
+        for server in world.cluster.servers.values():
+            if server.runs:
+                world.crash_server(server.name)
+        world.run_for(4.0)
+    world.run_for(15.0)
+    assert world.find_phase(SOUND) is JobPhase.COMPLETED
+
+
+def test_silence_is_no_crash() -> None:
+    """Guards against work that is given up since its servers only stay silent.
+
+    The planner loses each server right after the start, until the lease has expired.
+    """
+    world = make_world()
+    world.faults_injected = True
+    world.submit(SOUND, [(make_step(1, 8), StepPlan(4.0))])
+    for _ in range(4):
+        for _ in range(150):
+            world.run_for(0.1)
+            servers = [s.name for s in world.cluster.servers.values() if s.runs]
+            if servers:
+                break
+        world.planner.cut.update(servers)
+        world.run_for(12.0)
+        world.planner.cut.clear()
+    world.run_for(20.0)
+    assert world.violations == []
+    assert world.find_phase(SOUND) is JobPhase.COMPLETED
+
+
+@pytest.mark.parametrize("renames_servers", [False, True])
+def test_crash_counts_after_the_lease_has_expired(renames_servers: bool) -> None:
+    """Guards against a task that takes down servers for longer than their leases."""
+    world = make_world(renames_servers=renames_servers, restart_seconds=13.0)
+    world.submit(DEADLY, [(make_step(1, 1), StepPlan(1.0, crashing_index=0))])
+    world.run_for(120.0)
+    assert world.violations == []
+    assert world.find_phase(DEADLY) is JobPhase.FAILED
+
+
+def test_long_running_task_outlives_many_crashes() -> None:
+    """Guards against a long-running task that is given up over the years."""
+    world = make_world()
+    step = make_step(1, 1, long_running=True)
+    world.submit(SOUND, [(step, StepPlan(1e6))])
+    for _ in range(8):
+        world.run_for(3.0)
+        for server in world.cluster.servers.values():
+            if server.runs:
+                world.crash_server(server.name)
+        world.run_for(4.0)
+    world.run_for(4.0)
+    assert world.find_phase(SOUND) is JobPhase.RUNNING
+    world.check_final_phases()
+    assert world.violations == []
+
+
+def test_progress_of_an_older_build_is_read() -> None:
+    """Guards against records without crashes that a new build cannot read."""
+    unit = UnitRecord(0, 1, 2, False, 3, (1,), "saved", (), 5.0)
+    data = encode([JobPhase.RUNNING, True, 0.0, [list(astuple(unit))[:9]]])
+    progress = decode_progress(data).ok
+    assert progress.units[0] == unit
--- a/tests/planner/test_histories.py
+++ b/tests/planner/test_histories.py
@@ -13,7 +13,8 @@
 from cardamomdyke.model.orders import Shape, StepOrder
 from cardamomdyke.model.queues import Account
 from cardamomdyke_standins.platform_server import MAX_LEASE_SECONDS, StepPlan
-from tests.planner.world import ONCE, Fault, Schedule, World
+from tests.planner.crash_world import CrashWorld
+from tests.planner.world import ONCE, Fault, Schedule
 
 HISTORIES = 300
 STEPS = 16
@@ -49,6 +50,8 @@
 MAX_LONG_RUNNING_JOBS = 2
 LONG_RUNNING_MILLICORES = 12_000
 LONG_RUNNING_SECONDS = 1e6
+# Each crash takes one of four servers away.
+MAX_CRASHING_JOBS = 2
 # Time in which every job ends after the last fault: the leases of lost servers expire,
 # then the jobs run one after the other.
 SETTLE_SECONDS = 2 * MAX_LEASE_SECONDS + 120.0
@@ -65,7 +68,7 @@
         quota=st.sampled_from([0, 8, 16]),
     )
     def begin(self, rates: list[float], quota: int) -> None:
-        self.world = World()
+        self.world = CrashWorld()
         self.world.accounts = (Account("owner", frozenset(), 16),)
         self.world.set_quota("owner", quota)
         for name, rate in zip(SERVERS, rates, strict=True):
@@ -74,6 +77,7 @@
         self.world.take_over()
         self.world.run_for(1.0)
         self.jobs = 0
+        self.crashing_jobs = 0
         self.long_running_jobs = 0
 
     @rule(
@@ -124,6 +128,23 @@
             f"a{self.long_running_jobs:015x}", [(step, plan)], priority, 1
         )
 
+    @precondition(lambda self: self.crashing_jobs < MAX_CRASHING_JOBS)
+    @rule(
+        count=st.integers(1, 3),
+        accelerators=st.sampled_from([1, 8]),
+        gang=st.booleans(),
+        priority=st.integers(0, 2),
+    )
+    def submit_crashing(
+        self, count: int, accelerators: int, gang: bool, priority: int
+    ) -> None:
+        """Submit a job of which the first task crashes each server that starts it."""
+        self.crashing_jobs += 1
+        step = StepOrder(count, Shape(1000, 100, accelerators), 1.0, gang=gang)
+        plan = StepPlan(1.0, count, gang, crashing_index=0)
+        job_id = f"d{self.crashing_jobs:015x}"
+        self.world.submit(job_id, [(step, plan)], priority)
+
     @precondition(lambda self: self.jobs > 0)
     @rule(number=st.integers(0, 20))
     def cancel(self, number: int) -> None:
