Keep a closed server closed when a reservation on it is released

Callers saw: nothing yet; on servers that do not guard their capacity a task could start beside runs that were still being stopped. Cause: closing a server for a suspect task set what is free to zero, which hides the debt of a reservation that waits for stops; the release of another reservation then made room appear. Change: closing takes the whole capacity away.

--- a/src/cardamomdyke/planner/placement.py
+++ b/src/cardamomdyke/planner/placement.py
@@ -112,8 +112,11 @@
 
 
 def close_server(capacity: ServerCapacity) -> None:
-    """Leave nothing of a server free in this pass."""
-    capacity.millicores = capacity.memory_mb = capacity.accelerators = 0
+    """Leave nothing of a server free in this pass, also if reservations are released.
+
+    What is free may be negative, while a reservation waits for stops.
+    """
+    take_capacity(capacity, capacity.total)
 
 
 def fits_all(pool_capacity: PoolCapacity, names: Iterable[str], shape: Shape) -> bool:
--- a/tests/planner/test_crashes.py
+++ b/tests/planner/test_crashes.py
@@ -6,6 +6,12 @@
 
 from cardamomdyke.jobs.records import JobPhase, UnitRecord, decode_progress
 from cardamomdyke.model.orders import Shape, StepOrder
+from cardamomdyke.planner.placement import (
+    ServerCapacity,
+    close_server,
+    count_fits,
+    take_capacity,
+)
 from cardamomdyke_standins.platform_server import StepPlan
 from tests.planner.crash_world import CrashWorld
 
@@ -130,6 +136,18 @@
     assert world.find_phase(SOUND) is JobPhase.COMPLETED
 
 
+def test_closed_server_has_nothing_free_after_a_release() -> None:
+    """Guards against a start beside runs that are still being stopped.
+
+    A server with a reservation has less than nothing free. Closing it for a suspect
+    task must not hide that from the task whose reservation is released.
+    """
+    capacity = ServerCapacity("s0", "r1", (), SERVER, 1000, 1000, -8)
+    close_server(capacity)
+    take_capacity(capacity, SERVER, -1)
+    assert count_fits(capacity, Shape(1000, 100, 1)) == 0
+
+
 def test_silence_is_no_crash() -> None:
     """Guards against work that is given up since its servers only stay silent.
 
