--- a/tests/planner/test_histories.py
+++ b/tests/planner/test_histories.py
@@ -215,6 +215,10 @@
     def drain_server(self, name: str, draining: bool) -> None:
         self.world.list_server(name, draining)
 
+    @rule(name=st.sampled_from(SERVERS), accelerators=st.sampled_from([0, 2, 4, 8]))
+    def change_capacity(self, name: str, accelerators: int) -> None:
+        self.world.set_capacity(name, accelerators)
+
     @invariant()
     def keeps_rules(self) -> None:
         if hasattr(self, "world"):
@@ -230,6 +234,7 @@
         # A gang larger than its account's quota could never run.
         world.set_quota("owner", 0)
         for name in SERVERS:
+            world.set_capacity(name, SERVER.accelerators)
             world.list_server(name)
         world.planner.cut.clear()
         if not world.is_running(world.planner):
--- a/tests/planner/world.py
+++ b/tests/planner/world.py
@@ -179,6 +179,16 @@
             draining,
         )
 
+    def set_capacity(self, name: str, accelerators: int) -> None:
+        """Change a server's capacity while it runs."""
+        server = self.cluster.servers[name]
+        before = server.capacity.accelerators
+        self.capacities.setdefault(name, []).append((self.now, before))
+        server.capacity = replace(server.capacity, accelerators=accelerators)
+        if name in self.listed:
+            entry = self.listed[name]
+            self.listed[name] = replace(entry, capacity=server.capacity)
+
     # Jobs.
 
     def submit(
