Set a job aside that cannot be planned, instead of ending the term

Callers would see: no job starts anywhere, while one VM after the other becomes planner and ends its term. Cause: an unexpected error in the plan of one job ends the term, and the next planner reads the same job; the same class of fault as a task that crashes each server that starts it, one level up. Change: an error while one job is planned sets that job aside for the term, with a log line; the other jobs are planned.

--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -1,7 +1,7 @@
 """Planning pass: which units start, on which servers, and what is preempted."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from cardamomdyke.jobs.records import GANG_INDEX
 from cardamomdyke.planner.attempts import abort_attempt, create_attempt
@@ -67,12 +67,26 @@
     # guaranteed job goes to no other job, that of another urgent job to no job
     # without a guarantee.
     for group in (covered, others):
-        for job in group:
-            hold_reservations(draft, job)
-        for job in group:
-            place_job(draft, job)
+        for plan_job in (hold_reservations, place_job):
+            for job in group:
+                plan_safely(draft, job, plan_job)
     for job in ranked:
-        move_long_running(draft, job)
+        plan_safely(draft, job, move_long_running)
+
+
+def plan_safely(draft: Draft, job: Job, plan_job: Callable[[Draft, Job], None]) -> None:
+    """Plan one job; after an unexpected error it starts nothing more in this term.
+
+    An error that ends the term would end that of each later planner too, and one job
+    would keep all others from starting.
+    """
+    if job.job_id in draft.state.set_aside:
+        return
+    try:
+        plan_job(draft, job)
+    except Exception as error:
+        draft.state.set_aside.add(job.job_id)
+        draft.state.note("job.set_aside", job.job_id, error=repr(error))
 
 
 def rank_job(job: Job) -> tuple[int, bool, float]:
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -433,6 +433,8 @@
         Recent arrivals of urgent jobs, the oldest first.
     share_balances : dict of str to ShareBalance
         Balances of the client accounts that have a weight, by name.
+    set_aside : set of str
+        Ids of jobs that cannot be planned because of an unexpected error.
     suspect_units : set of (str, UnitKey)
         Units at whose starts servers crashed, or may have, by job id and key.
     lapsed_runs : list of LapsedRun
@@ -453,6 +455,7 @@
     superseded: bool = False
     urgent_arrivals: deque[UrgentArrival] = field(default_factory=deque)
     share_balances: dict[str, ShareBalance] = field(default_factory=dict)
+    set_aside: set[str] = field(default_factory=set)
     suspect_units: set[tuple[str, UnitKey]] = field(default_factory=set)
     lapsed_runs: list[LapsedRun] = field(default_factory=list)
 
