Bound the crashes of servers under a task at any age of its runs

Callers would see: a job that takes a server down each few seconds for ever, if its task crashes it a while after the start. Cause: only crashes right after a start were counted, since a later one mostly has another cause. Change: proven crashes of any age under one task add up, to five at the most; they neither make it suspect nor count for long-running tasks. A suspect task that outlives its start keeps its crashes in that sum. The sum is part of the progress record.

--- a/src/cardamomdyke/jobs/records.py
+++ b/src/cardamomdyke/jobs/records.py
@@ -118,6 +118,8 @@
         Index of a task and run number of each start at which its server crashed.
     silent_starts : tuple of (int, int)
         The same of starts after which the server fell silent.
+    later_crashes : tuple of (int, int)
+        The same of crashes that do not make the unit suspect.
     """
 
     occurrence: int
@@ -131,6 +133,7 @@
     began_at: float = 0.0
     crashes: tuple[tuple[int, int], ...] = ()
     silent_starts: tuple[tuple[int, int], ...] = ()
+    later_crashes: tuple[tuple[int, int], ...] = ()
 
 
 class JobProgress(Struct, frozen=True, array_like=True):
--- a/src/cardamomdyke/planner/crashes.py
+++ b/src/cardamomdyke/planner/crashes.py
@@ -30,6 +30,9 @@
 # The platform lets a task be given up after two crashes. The third one spares a sound
 # task that was twice on a server that crashed for another reason.
 CRASH_LIMIT = 3
+# Crashes of any age under a task, after which its job fails. Servers crash for other
+# reasons during a long run, and the platform allows two starts after the third crash.
+TOTAL_CRASH_LIMIT = 5
 # A server that crashed is back after some seconds. One that is not back by then is
 # taken as gone for another reason.
 CRASH_PROOF_SECONDS = 30.0
@@ -81,7 +84,9 @@
     member: Member,
     now: float,
 ) -> None:
-    """Count a proven crash of a server against a run that had just started there.
+    """Count a proven crash of a server against a run that it had.
+
+    A run that had just started makes its unit suspect.
 
     Parameters
     ----------
@@ -99,21 +104,23 @@
         Steady-clock seconds.
     """
     attempt = unit.attempt
-    if attempt is not None and may_have_crashed(state, server, unit, attempt, member):
+    if attempt is None or not was_present(server, member):
+        return
+    if not outlived_start(state.limits, unit, attempt, member):
         count_crash(state, job, unit, member.index, attempt.run, member.server, now)
+    elif not (job.is_final or unit.done or job.find_step(unit).long_running):
+        unit.later_crashes.add((member.index, attempt.run))
+        state.mark_changed(job)
+        check_crash_limits(state, job, unit, member.index, now)
 
 
-def may_have_crashed(
-    state: PlannerState, server: Server, unit: Unit, attempt: Attempt, member: Member
-) -> bool:
-    """Return whether a run may be the reason that its server is gone."""
+def was_present(server: Server, member: Member) -> bool:
+    """Return whether a run may have been on a server when that went away."""
     if member.phase not in (MemberPhase.STARTING, MemberPhase.RUNNING):
         return False
     # A start that was sent to a silent server came after the crash.
     sent_before = not server.failing_since or member.sent_at <= server.failing_since
-    if server.entry.draining or not sent_before:
-        return False
-    return not outlived_start(state.limits, unit, attempt, member)
+    return sent_before and not server.entry.draining
 
 
 def count_crash(
@@ -132,7 +139,6 @@
     unit.crashes.add((index, run))
     state.suspect_units.add((job.job_id, unit.key))
     state.mark_changed(job)
-    crashes = sum(crashed == index for crashed, _ in unit.crashes)
     state.note(
         "task.suspected",
         job.job_id,
@@ -140,13 +146,25 @@
         index=index,
         run=run,
         server=server_name,
-        crashes=crashes,
+        crashes=count_index(unit.crashes, index),
         limit=CRASH_LIMIT,
     )
-    if crashes >= CRASH_LIMIT:
-        reason = (
-            f"{crashes} backend servers crashed when task {index} of {unit.key} started"
-        )
+    check_crash_limits(state, job, unit, index, now)
+
+
+def count_index(crashes: set[tuple[int, int]], index: int) -> int:
+    """Return how many crashes belong to one task of a unit."""
+    return sum(crashed == index for crashed, _ in crashes)
+
+
+def check_crash_limits(
+    state: PlannerState, job: Job, unit: Unit, index: int, now: float
+) -> None:
+    """Fail a job once too many servers crashed under one of its tasks."""
+    starts = count_index(unit.crashes, index)
+    crashes = count_index(unit.crashes | unit.later_crashes, index)
+    if starts >= CRASH_LIMIT or crashes >= TOTAL_CRASH_LIMIT:
+        reason = f"{crashes} backend servers crashed under task {index} of {unit.key}"
         end_job(state, job, JobPhase.FAILED, reason, now)
         stop_job(state, job, "job failed", now)
 
@@ -161,7 +179,8 @@
     attempt = unit.attempt
     if attempt is None or unit.done or job.is_final:
         return
-    if may_have_crashed(state, server, unit, attempt, member):
+    outlived = outlived_start(state.limits, unit, attempt, member)
+    if was_present(server, member) and not outlived:
         unit.silent_starts.add((member.index, attempt.run))
         state.suspect_units.add((job.job_id, unit.key))
         state.mark_changed(job)
@@ -253,6 +272,8 @@
         if (item.job_id, item.unit_key) != (job.job_id, unit.key)
     ]
     if unit.crashes or unit.silent_starts:
+        if not job.find_step(unit).long_running:
+            unit.later_crashes |= unit.crashes
         unit.crashes.clear()
         unit.silent_starts.clear()
         state.mark_changed(job)
--- a/src/cardamomdyke/planner/progress.py
+++ b/src/cardamomdyke/planner/progress.py
@@ -105,6 +105,7 @@
         began_at,
         tuple(sorted(unit.crashes)),
         tuple(sorted(unit.silent_starts)),
+        tuple(sorted(unit.later_crashes)),
     )
 
 
@@ -245,6 +246,7 @@
         unit.checkpoint = record.checkpoint
         unit.crashes = set(record.crashes)
         unit.silent_starts = set(record.silent_starts)
+        unit.later_crashes = set(record.later_crashes)
         if unit.crashes or unit.silent_starts:
             state.suspect_units.add((job.job_id, unit.key))
         if record.members:
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -172,6 +172,9 @@
         One server per task, on which resources are being freed for it.
     crashes : set of (int, int)
         Index of a task and run number of each start at which its server crashed.
+    later_crashes : set of (int, int)
+        The same of crashes that do not make the unit suspect, since the run had
+        outlived its start or a later run did.
     silent_starts : set of (int, int)
         The same of starts after which the server fell silent, until it is known
         whether it crashed.
@@ -189,6 +192,7 @@
     ready_since: float = 0.0
     reserved_servers: tuple[str, ...] = ()
     crashes: set[tuple[int, int]] = field(default_factory=set)
+    later_crashes: set[tuple[int, int]] = field(default_factory=set)
     silent_starts: set[tuple[int, int]] = field(default_factory=set)
 
 
