Count a lapsed run's crash only where both instances are known

Cause: a server whose instance was not known when a run was sent to it would have counted as restarted as soon as the store stated one. Change: both instances must be known; a unit without any suspicion left is no suspect; names and comments of the two modules. Conclusion: found by reading; the platform's servers state their instance always, as far as seen.

--- a/src/cardamomdyke/planner/crashes.py
+++ b/src/cardamomdyke/planner/crashes.py
@@ -1,9 +1,9 @@
 """Crashes of backend servers under a task, and the limit of its starts.
 
 A task that crashes each server which starts it would take down one server after the
-other. A crash counts against the runs that had just started on the server, and only
-with proof that the server crashed: a new instance of it, or another server at its
-address. Silence is no proof.
+other. A crash makes the runs suspect that had just started on the server, and counts
+only with proof: a new instance of the server, or another server at its address.
+Silence is no proof.
 """
 
 from collections.abc import Mapping
@@ -107,7 +107,9 @@
     if attempt is None or not was_present(server, member):
         return
     if not outlived_start(state.limits, unit, attempt, member):
-        count_crash(state, job, unit, member.index, attempt.run, member.server, now)
+        count_start_crash(
+            state, job, unit, member.index, attempt.run, member.server, now
+        )
     elif not (job.is_final or unit.done or job.find_step(unit).long_running):
         unit.later_crashes.add((member.index, attempt.run))
         state.mark_changed(job)
@@ -123,7 +125,7 @@
     return sent_before and not server.entry.draining
 
 
-def count_crash(
+def count_start_crash(
     state: PlannerState,
     job: Job,
     unit: Unit,
@@ -132,7 +134,7 @@
     server_name: str,
     now: float,
 ) -> None:
-    """Count one crash against a task, and fail its job at the limit."""
+    """Count a crash at a task's start, which makes its unit suspect."""
     if job.is_final or unit.done or (index, run) in unit.crashes:
         return
     unit.silent_starts.discard((index, run))
@@ -196,6 +198,8 @@
     if start in unit.silent_starts:
         unit.silent_starts.discard(start)
         state.mark_changed(job)
+        if not list_suspect_indices(unit):
+            state.suspect_units.discard((job.job_id, unit.key))
 
 
 def remember_lapsed_run(
@@ -243,13 +247,12 @@
     names = {entry.address: entry.name for entry in listed.values() if entry.address}
     pending = []
     for lapsed in state.lapsed_runs:
-        entry = listed.get(lapsed.server)
-        restarted = entry is not None and entry.instance not in (0, lapsed.instance)
-        if restarted or names.get(lapsed.address, lapsed.server) != lapsed.server:
+        replaced = names.get(lapsed.address, lapsed.server) != lapsed.server
+        if replaced or is_restarted(lapsed, listed.get(lapsed.server)):
             job = state.jobs.get(lapsed.job_id)
             unit = job.units.get(lapsed.unit_key) if job is not None else None
             if job is not None and unit is not None:
-                count_crash(
+                count_start_crash(
                     state, job, unit, lapsed.index, lapsed.run, lapsed.server, now
                 )
         elif now - lapsed.lapsed_at < CRASH_PROOF_SECONDS:
@@ -257,6 +260,13 @@
     state.lapsed_runs = pending
 
 
+def is_restarted(lapsed: LapsedRun, entry: ServerEntry | None) -> bool:
+    """Return whether a server is listed with a new instance since a run lapsed."""
+    if entry is None or not entry.instance or not lapsed.instance:
+        return False
+    return entry.instance != lapsed.instance
+
+
 def clear_suspect(state: PlannerState, job: Job, unit: Unit) -> None:
     """Drop the crashes counted against a unit, once it has outlived its start."""
     attempt = unit.attempt
--- a/src/cardamomdyke/planner/isolation.py
+++ b/src/cardamomdyke/planner/isolation.py
@@ -1,6 +1,6 @@
-"""Placement of suspect tasks, apart from work that a crash would disturb or blame.
+"""Placement of suspect tasks, apart from other starts.
 
-A crash counts against all runs that had just started on the server, so a suspect task
+A crash makes all runs suspect that had just started on the server, so a suspect task
 starts where every other run has outlived its start, and nothing starts beside it until
 it has outlived its own.
 """
