Let a suspect long-running task take the headroom of urgent jobs

Callers would see: a long-running task that stays away after a crash of its server, as long as urgent jobs keep arriving. Cause: the placement of suspect tasks checked the headroom for all work that is not urgent; long-running tasks are exempt elsewhere. Change: they are exempt here too. The new test failed before.

--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -171,7 +171,7 @@
     Other work is preempted for it only after a wait, since it is likely to crash its
     server again.
     """
-    if not job.is_urgent:
+    if not (job.is_urgent or job.find_step(unit).long_running):
         headroom = find_headroom(draft, job.record.pool)
         if headroom is None or not check_headroom(headroom, job, unit, draft.now):
             return
--- a/tests/planner/test_crashes.py
+++ b/tests/planner/test_crashes.py
@@ -213,6 +213,29 @@
     assert world.violations == []
 
 
+def test_suspect_long_running_task_takes_the_headroom() -> None:
+    """Guards against a long-running task that waits while urgent jobs keep arriving.
+
+    Batch work leaves them headroom; long-running tasks have to run however full the
+    pool is, also when they are suspect.
+    """
+    world = make_world(servers=1)
+    step = make_step(1, 8, long_running=True)
+    world.submit(SOUND, [(step, StepPlan(1e6))])
+    world.run_for(0.3)
+    (server,) = [s for s in world.cluster.servers.values() if s.runs]
+    world.crash_server(server.name)
+    for number in range(12):
+        urgent = [(make_step(1, 1), StepPlan(0.3))]
+        world.submit(f"{number:016x}", urgent, priority=0)
+        world.run_for(1.0)
+    assert any(
+        run.task.job_id == SOUND
+        for server in world.cluster.servers.values()
+        for run in server.runs.values()
+    )
+
+
 class OldUnitRecord(Struct, frozen=True, array_like=True):
     """A unit's record before crashes were counted."""
 
