Split what the planner remembers of its inputs from its state

Change: arrivals, share balances, lapsed runs, limits and the key of a unit move to planner/inputs.py; no behaviour changes.

--- a/src/cardamomdyke/control/terms.py
+++ b/src/cardamomdyke/control/terms.py
@@ -15,9 +15,10 @@
 from cardamomdyke.control.recorder import Recorder
 from cardamomdyke.control.supervision import log_crash
 from cardamomdyke.jobs.ledger import Change
+from cardamomdyke.planner.inputs import Limits
 from cardamomdyke.planner.polls import update_servers
 from cardamomdyke.planner.progress import restore_jobs
-from cardamomdyke.planner.state import Limits, PlannerState
+from cardamomdyke.planner.state import PlannerState
 from cardamomdyke.platform.servers import ServerClient
 
 # The list of backend servers changes with every heartbeat, so it is read at
--- a/src/cardamomdyke/planner/crashes.py
+++ b/src/cardamomdyke/planner/crashes.py
@@ -11,17 +11,15 @@
 from cardamomdyke.jobs.records import JobPhase
 from cardamomdyke.model.servers import ServerEntry
 from cardamomdyke.planner.attempts import end_job, stop_job
+from cardamomdyke.planner.inputs import LapsedRun, Limits, UnitKey
 from cardamomdyke.planner.state import (
     Attempt,
     Job,
-    LapsedRun,
-    Limits,
     Member,
     MemberPhase,
     PlannerState,
     Server,
     Unit,
-    UnitKey,
 )
 
 # A run that is listed this long after all tasks of its unit have started has outlived
--- a/src/cardamomdyke/planner/preemption.py
+++ b/src/cardamomdyke/planner/preemption.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from cardamomdyke.model.orders import Shape, StepOrder
+from cardamomdyke.planner.inputs import UnitKey
 from cardamomdyke.planner.placement import (
     PoolCapacity,
     ServerCapacity,
@@ -12,14 +13,7 @@
     list_choices,
     take_capacity,
 )
-from cardamomdyke.planner.state import (
-    Attempt,
-    Job,
-    MemberPhase,
-    PlannerState,
-    Unit,
-    UnitKey,
-)
+from cardamomdyke.planner.state import Attempt, Job, MemberPhase, PlannerState, Unit
 
 # Weight of an accelerator in processor cores, as the platform prices it.
 CORES_PER_ACCELERATOR = 8.0
--- a/src/cardamomdyke/planner/progress.py
+++ b/src/cardamomdyke/planner/progress.py
@@ -17,6 +17,7 @@
 from cardamomdyke.planner.actions import SendStart
 from cardamomdyke.planner.attempts import abort_attempt, cancel_job, end_job
 from cardamomdyke.planner.headroom import record_arrival
+from cardamomdyke.planner.inputs import UnitKey
 from cardamomdyke.planner.leases import find_inherited_expiry
 from cardamomdyke.planner.occurrences import open_next, open_occurrences
 from cardamomdyke.planner.shares import check_share
@@ -28,7 +29,6 @@
     PlannerState,
     Server,
     Unit,
-    UnitKey,
 )
 
 
--- a/src/cardamomdyke/planner/shares.py
+++ b/src/cardamomdyke/planner/shares.py
@@ -4,7 +4,8 @@
 order of arrival, its jobs would delay those of all other accounts.
 """
 
-from cardamomdyke.planner.state import Job, PlannerState, ShareBalance
+from cardamomdyke.planner.inputs import ShareBalance
+from cardamomdyke.planner.state import Job, PlannerState
 
 # An account may submit the jobs of this long at once, since jobs arrive in bunches.
 BURST_SECONDS = 2.0
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -13,6 +13,13 @@
 from cardamomdyke.model.queues import QueueTables
 from cardamomdyke.model.servers import EndKind, ServerEntry
 from cardamomdyke.planner.actions import Action, Note
+from cardamomdyke.planner.inputs import (
+    LapsedRun,
+    Limits,
+    ShareBalance,
+    UnitKey,
+    UrgentArrival,
+)
 from cardamomdyke.planner.leases import ClockReading
 
 
@@ -120,27 +127,6 @@
 # Only jobs of this priority are urgent and covered by a client account's guarantee.
 URGENT_PRIORITY = 0
 
-UnitKey = tuple[int, int, int]
-
-
-@dataclass(frozen=True, slots=True)
-class UrgentArrival:
-    """Arrival of an urgent job.
-
-    Attributes
-    ----------
-    at : float
-        Steady-clock seconds.
-    pool : str
-        Pool of the job.
-    steps : tuple of StepOrder
-        Steps of the job.
-    """
-
-    at: float
-    pool: str
-    steps: tuple[StepOrder, ...]
-
 
 @dataclass(slots=True)
 class Unit:
@@ -330,78 +316,6 @@
     suspended_until: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class LapsedRun:
-    """A run that was lost at its start with a server that stays silent.
-
-    Attributes
-    ----------
-    server : str
-        Name of the server.
-    instance : int
-        Instance to which the start was addressed.
-    address : str
-        Address of the server.
-    job_id : str
-        Job of the run.
-    unit_key : UnitKey
-        Unit of the run.
-    index : int
-        Index of the task within its step.
-    run : int
-        Number of the run.
-    lapsed_at : float
-        When the server's leases had expired, in steady-clock seconds.
-    """
-
-    server: str
-    instance: int
-    address: str
-    job_id: str
-    unit_key: UnitKey
-    index: int
-    run: int
-    lapsed_at: float
-
-
-@dataclass(slots=True)
-class ShareBalance:
-    """Jobs that an account may submit now within its share.
-
-    Attributes
-    ----------
-    jobs : float
-        Number of jobs; a submission takes one.
-    updated_at : float
-        Steady-clock seconds.
-    """
-
-    jobs: float
-    updated_at: float
-
-
-@dataclass(frozen=True, slots=True)
-class Limits:
-    """Limits of the deployment that the planner depends on.
-
-    Attributes
-    ----------
-    lease_seconds : float
-        Maximum lease of a backend server.
-    gang_wait_seconds : float
-        Time that a gang member waits for the others.
-    stop_seconds : float
-        Maximum time from a stop to the end of the run.
-    remote_factor : float
-        Run time of a task away from its data, as a multiple of that near it.
-    """
-
-    lease_seconds: float
-    gang_wait_seconds: float
-    stop_seconds: float
-    remote_factor: float = 1.0
-
-
 @dataclass(slots=True)
 class PlannerState:
     """Complete state of a planner.
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -16,8 +16,9 @@
     encode_progress,
 )
 from cardamomdyke.model.orders import JobOrder
+from cardamomdyke.planner.inputs import Limits
 from cardamomdyke.planner.progress import add_job
-from cardamomdyke.planner.state import Limits, PlannerState
+from cardamomdyke.planner.state import PlannerState
 from cardamomdyke.platform.records import KeyedRecord
 from tests.control.fakes import make_context
 
--- a/tests/control/test_supervision.py
+++ b/tests/control/test_supervision.py
@@ -22,8 +22,9 @@
 from cardamomdyke.model.orders import Shape
 from cardamomdyke.model.servers import RunLists, ServerEntry
 from cardamomdyke.planner.actions import PollOrder
+from cardamomdyke.planner.inputs import Limits
 from cardamomdyke.planner.polls import update_servers
-from cardamomdyke.planner.state import Limits, PlannerState
+from cardamomdyke.planner.state import PlannerState
 from cardamomdyke.platform.records import KeyedRecord, RecordPage
 from cardamomdyke.platform.store import Membership
 from tests.control.fakes import make_context
--- a/tests/planner/test_headroom.py
+++ b/tests/planner/test_headroom.py
@@ -11,9 +11,10 @@
     hold_for_gang,
     make_headroom,
 )
+from cardamomdyke.planner.inputs import Limits
 from cardamomdyke.planner.placement import PoolCapacity
 from cardamomdyke.planner.progress import add_job
-from cardamomdyke.planner.state import Job, Limits, PlannerState, Unit, make_units
+from cardamomdyke.planner.state import Job, PlannerState, Unit, make_units
 from cardamomdyke_standins.platform_server import StepPlan
 from tests.planner.world import POOL, World
 
--- a/tests/planner/world.py
+++ b/tests/planner/world.py
@@ -29,6 +29,7 @@
 )
 from cardamomdyke.planner.actions import Action, SendStart, SendStop
 from cardamomdyke.planner.attempts import cancel_job
+from cardamomdyke.planner.inputs import Limits
 from cardamomdyke.planner.planning import plan_starts
 from cardamomdyke.planner.polls import (
     apply_timeouts,
@@ -48,11 +49,7 @@
     handle_start_answer,
     handle_stop_answer,
 )
-from cardamomdyke.planner.state import (
-    Limits,
-    PlannerState,
-    find_checkpoint,
-)
+from cardamomdyke.planner.state import PlannerState, find_checkpoint
 from cardamomdyke_standins.platform_server import (
     GANG_TIMEOUT_SECONDS,
     MAX_LEASE_SECONDS,
