--- a/review/harness.py
+++ b/review/harness.py
@@ -21,6 +21,7 @@
 ROOT = Path(__file__).resolve().parents[1]
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 KEY = "d4a3hwrr6x73d3zji9n7"
+OTHER_KEY = "3hh2b9wu3fexd9dnn2ct"
 HOST = "nony24.example"
 SERVICE = "huvo11a"
 # Queue by priority.
@@ -68,7 +69,7 @@
 
 
 def make_config(**changes: Any) -> dict[str, Any]:
-    """Return a configuration with three queues, one service and one tenant."""
+    """Return a configuration with three queues, one service and two tenants."""
     routes = [
         {
             "name": f"r-{priority}",
@@ -99,12 +100,13 @@
         "priority": 1,
         "guaranteed": {"accelerators": 32},
     }
+    other = {"name": "wuno55", "api_keys": [OTHER_KEY], "priority": 1}
     return {
         "version": 7,
         "routes": routes,
         "services": [service],
         "limits": {"max_body_bytes": 262144},
-        "tenants": [tenant],
+        "tenants": [tenant, other],
         **changes,
     }
 
@@ -287,13 +289,14 @@
         job_id: str,
         body: dict[str, Any] | None = None,
         priority: int = 2,
+        key: str = KEY,
     ) -> tuple[int, dict[str, Any]]:
         """Send a client's request to a daemon, and record it with its answer."""
         path = PREFIXES[priority] + job_id
         data = None if body is None else json.dumps(body).encode()
         headers = {
             "Host": HOST,
-            "Api-Key": KEY,
+            "Api-Key": key,
             "Content-Type": "application/json",
             "Deadline-Milliseconds": "3000",
         }
