--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,78 +1,99 @@
-"""A gang never starts after two idle workers were taken away."""
+"""A job runs although its cancellation was answered before a frozen daemon woke."""
 
 import json
+import signal
+import socket
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from harness import BROKEN, HELD, NOT_RUN, Case, run_case
+from harness import (
+    BOUNDS,
+    BROKEN,
+    HELD,
+    HOST,
+    KEY,
+    PREFIXES,
+    Case,
+    CaseError,
+    run_case,
+)
 
-LASTING = ("00000000000000b0", "00000000000000b1")
-GANG = "00000000000000a3"
-RACK_SIZE = 8
-MEMBERS = 7
-# `drain_ms` and a little longer.
-DRAIN_SECONDS = 2.5
-# `finish_s`, the 3 s of the rule, and as much again.
-WAIT_SECONDS = 35.0
+JOB = "00000000000000a4"
+FROZEN = "frontend-gent-2"
+OTHER = "frontend-lokeren-2"
+# Dose of `node_freeze` in the site file.
+FREEZE_SECONDS = 4.0
+# `give_up` in the site file: clients leave within 900 ms.
+PATIENCE_SECONDS = 0.5
+TASKS = 4
+WAIT_SECONDS = 10.0
 
 
-def make_step(count: int, milliseconds: int, **fields: object) -> dict:
-    """Return a step whose tasks each need a whole worker."""
-    return {
-        "count": count,
-        "cpu_millicores": 13000,
-        "task_memory_mb": 26000,
-        "accelerators": 8,
-        "estimated_ms": milliseconds,
-        **fields,
+def make_job() -> dict:
+    """Return a job of some tasks that each run for two seconds."""
+    step = {
+        "count": TASKS,
+        "cpu_millicores": 2000,
+        "task_memory_mb": 1024,
+        "accelerators": 1,
+        "estimated_ms": 2000,
     }
+    return {"specification": json.dumps([{"ms": 2000}]), "steps": [step]}
 
 
-def make_job(milliseconds: int, gang: int, step: dict) -> dict:
-    """Return a job of one step; a negative time lasts until a stop."""
-    plan = {"ms": milliseconds, "gang": gang}
-    return {"specification": json.dumps([plan]), "steps": [step]}
+def submit(case: Case) -> None:
+    """Send the job to a daemon, and leave after a while or with the answer."""
+    host, _, port = case.nodes[FROZEN]["frontend"].rpartition(":")
+    body = json.dumps(make_job()).encode()
+    path = PREFIXES[2] + JOB
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\n"
+        "Content-Type: application/json\r\nDeadline-Milliseconds: 3000\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    with socket.create_connection((host, int(port)), 2.0) as connection:
+        connection.sendall(head.encode() + body)
+        case.write(f"POST {path} at {FROZEN}")
+        connection.settimeout(PATIENCE_SECONDS)
+        try:
+            answer = connection.recv(4096).decode()
+        except TimeoutError:
+            answer = "no answer"
+    case.write(f"the client leaves {FROZEN} with {answer!r}")
 
 
 def play(case: Case) -> tuple[int, str]:
-    """Start lasting tasks in two racks, shrink the third, and submit a gang."""
-    case.start(rack_size=RACK_SIZE)
-    nodes = list(case.nodes)
-    for number, job_id in enumerate(LASTING):
-        step = make_step(2, 1000, affinity=f"r1-{number}", long_running=True)
-        code, _ = case.send(nodes[number], "POST", job_id, make_job(-1, 0, step))
-        if code != 200:
-            return NOT_RUN, f"a lasting job was answered {code}"
-    for job_id in LASTING:
-        if not case.wait(lambda job=job_id: len(case.list_runs(job)) == 2, 10.0):
-            return NOT_RUN, "the lasting tasks did not start"
+    """Freeze a daemon, submit and cancel a job, and wake the daemon."""
+    case.start()
+    case.wait(lambda: False, 3.0)
+    process = case.processes[FROZEN]
+    frozen_at = time.monotonic()
     if case.trouble:
-        leaving = [worker["id"] for worker in case.workers[-2:]]
-        for name in leaving:
-            case.command("drain", name)
-        case.wait(lambda: False, DRAIN_SECONDS)
-        for name in leaving:
-            case.command("leave", name)
-    case.wait(lambda: False, 2.0)
-    step = make_step(MEMBERS, 2000, gang=True, rack_sensitive=True)
-    code, _ = case.send(nodes[2], "POST", GANG, make_job(2000, MEMBERS, step), 1)
-    if code != 200:
-        return NOT_RUN, f"the gang was answered {code}"
-    if case.wait(lambda: is_completed(case, nodes[3]), WAIT_SECONDS):
-        return HELD, "the gang is completed"
-    starts = len(case.list_runs(GANG))
-    workers = len(case.workers) - 2 * case.trouble
-    used = sum(len(case.list_runs(job)) for job in LASTING)
-    text = f"{starts} of the gang's {MEMBERS} tasks started in {WAIT_SECONDS} s"
-    return BROKEN, f"{text}; {workers - used} of {workers} workers were idle"
-
-
-def is_completed(case: Case, node: str) -> bool:
-    """Ask a daemon whether the gang is completed."""
-    case.wait(lambda: False, 0.5)
-    return case.send(node, "GET", GANG, priority=1)[1].get("state") == "completed"
+        process.send_signal(signal.SIGSTOP)
+        case.write(f"{FROZEN} is frozen")
+    submit(case)
+    code, _ = case.send(OTHER, "DELETE", JOB)
+    if code not in (200, 410):
+        raise CaseError(f"the cancellation was answered {code}")
+    acknowledged_at = time.time()
+    if case.trouble:
+        case.wait(lambda: False, frozen_at + FREEZE_SECONDS - time.monotonic())
+        process.send_signal(signal.SIGCONT)
+        case.write(f"{FROZEN} wakes")
+    case.wait(lambda: False, WAIT_SECONDS)
+    state = case.send(OTHER, "GET", JOB)[1].get("state", "not known")
+    limit = acknowledged_at + BOUNDS["cancel_ms"] / 1000
+    late = [event for event in case.list_runs(JOB) if event["at"] > limit]
+    if not late:
+        return HELD, f"no task started too late; the job is shown as {state}"
+    seconds = min(event["at"] for event in late) - acknowledged_at
+    done = [event for event in case.list_runs(JOB, "end") if event["how"] == "done"]
+    text = f"{len(late)} tasks started, the first {seconds:.1f} s after the"
+    text += f" cancellation was answered {code}"
+    return BROKEN, f"{text}; {len(done)} ran to their end, the job is shown as {state}"
 
 
 if __name__ == "__main__":
