Review, case 4: a daemon goes back to an older configuration

While the store does not answer it, a daemon serves through peers that know the newer configuration; once any call is answered it serves by its own older tables.

--- a/review/harness.py
+++ b/review/harness.py
@@ -370,6 +370,8 @@
 def run_case(folder: str, play: Any) -> int:
     """Play a case and return its exit code."""
     case = Case(folder)
+    # A stop from outside must not leave the daemons behind.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         verdict, reason = play(case)
     except CaseError as error:
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -302,6 +302,8 @@
         self.topics: dict[tuple[str, int], Partition] = {}
         self.groups: dict[str, Group] = {}
         self.history: list[dict[str, Any]] = []
+        # Addresses of the daemons that the store does not answer.
+        self.unserved: set[str] = set()
         # Job whose starts are left unanswered, on how many servers, for how many
         # seconds until the server crashes, and for how many seconds it is down.
         self.trap: tuple[str, int, float, float] = ("", 0, 0.0, 0.0)
@@ -370,6 +372,11 @@
         """Set the platform."""
         self.platform = platform
 
+    async def prepare(self) -> None:
+        """Never answer a call of a daemon that the store turns away."""
+        if self.request.remote_ip in self.platform.unserved:
+            await asyncio.Event().wait()
+
     def answer(self, code: int, body: dict[str, Any]) -> None:
         """Send a status and a JSON body."""
         self.set_status(code)
@@ -562,6 +569,10 @@
             self.platform.put("keyed.op", name, self.request.body)
         elif command == "entry":
             self.platform.put("keyed.servers", name, self.request.body)
+        elif command == "refuse":
+            self.platform.unserved.add(name)
+        elif command == "serve":
+            self.platform.unserved.discard(name)
         elif command == "trap":
             self.platform.trap = (name, *json.loads(self.request.body))
         else:
