Name the task and the run of an unknown run in the log

Cause: run.unknown named only the job and the server, so a log could not tell which start had taken effect late, nor on which instance.

--- a/src/cardamomdyke/planner/polls.py
+++ b/src/cardamomdyke/planner/polls.py
@@ -298,7 +298,14 @@
     key = (report.task, report.run)
     if key not in server.unknown_runs:
         server.unknown_runs[key] = find_task_shape(state, server, report.task)
-        state.note("run.unknown", report.task.job_id, server=server.entry.name)
+        state.note(
+            "run.unknown",
+            report.task.job_id,
+            task=(report.task.occurrence, report.task.step, report.task.index),
+            run=report.run,
+            server=server.entry.name,
+            instance=server.instance,
+        )
     state.actions.append(SendStop(server.entry.name, report.task, report.run))
 
 
