Show two runs of one task from late orders in failing tests

Cause: the tests' servers dropped a late order if they had restarted meanwhile, repeats did not cancel the call before them as the planner's loop does, and a takeover always waited for the end of the previous planner's authority. So no test could see an order that outlives its instance, its attempt or its planner.

--- a/tests/planner/crash_world.py
+++ b/tests/planner/crash_world.py
@@ -85,11 +85,11 @@
         timeout: float,
         execute: Callable[[], object],
         answer: Callable[[object, CallFault | None], None],
-        faulty: bool = True,
         fault: Fault = Fault.NONE,
+        delay: float = 0.0,
     ) -> None:
         if name not in self.replaced or name in planner.cut:
-            super().call(planner, name, timeout, execute, answer, faulty, fault)
+            super().call(planner, name, timeout, execute, answer, fault, delay)
             return
         fault = CallFault(True, RefusalKind.OTHER_LIFE, "another server answers")
 
--- /dev/null
+++ b/tests/planner/test_late_orders.py
@@ -0,0 +1,140 @@
+"""Orders that servers carry out seconds late, or on a later instance."""
+
+import pytest
+
+from cardamomdyke_standins.platform_server import PlatformServer, StepPlan
+from tests.planner.test_planner import JOB, make_step, make_world
+from tests.planner.world import Fault, World
+
+# A start is sent once, and repeated five times at most.
+UNANSWERED_REPEATS = [(Fault.LOSE_REQUEST, 0.0)] * 5
+
+
+def submit_task(world: World) -> None:
+    """Submit a task that fills a server and outlasts the test."""
+    world.submit(JOB, [(make_step(1, 8), StepPlan(90.0))])
+
+
+def find_server(world: World) -> PlatformServer:
+    """Return the server of the task's current attempt."""
+    (unit,) = world.planner.state.jobs[JOB].units.values()
+    assert unit.attempt is not None
+    (member,) = unit.attempt.members.values()
+    return world.cluster.servers[member.server]
+
+
+def restart_server(world: World, server: PlatformServer, seconds: float) -> None:
+    """Restart a server under its own name; the store lists the new instance."""
+    server.crash(world.now)
+    world.run_for(seconds)
+    server.restart(world.now)
+    world.list_server(server.name)
+
+
+def check_single_run(world: World) -> None:
+    """Check that the task runs once now, and never ran twice at the same time."""
+    assert world.violations == []
+    runs = [run for item in world.cluster.servers.values() for run in item.runs]
+    assert len(runs) == 1
+
+
+@pytest.mark.parametrize("away", [0.01, 0.2, 0.5])
+def test_repeated_start_does_not_run_again_on_a_later_instance(away: float) -> None:
+    """Guards against a start that takes effect after the run of its repeat is lost."""
+    world = make_world(2)
+    world.start_faults = [(Fault.LATE, 5.0)]
+    submit_task(world)
+    world.run_for(2.0)
+    server = find_server(world)
+    world.refusing.add(server.name)
+    restart_server(world, server, away)
+    world.run_for(10.0)
+    check_single_run(world)
+
+
+@pytest.mark.parametrize("away", [0.01, 0.2, 0.5])
+def test_stopped_start_does_not_run_on_a_later_instance(away: float) -> None:
+    """Guards against a late start that only the instance before was told to refuse."""
+    world = make_world(2)
+    world.start_faults = [(Fault.LATE, 6.0), *UNANSWERED_REPEATS]
+    submit_task(world)
+    world.run_for(0.2)
+    server = find_server(world)
+    world.run_for(2.5)
+    assert find_server(world) is not server
+    restart_server(world, server, away)
+    world.run_for(10.0)
+    check_single_run(world)
+
+
+def test_stop_of_an_earlier_instance_is_no_proof() -> None:
+    """Guards against the confirmation of a stop that outlives its instance."""
+    world = make_world(2)
+    world.start_faults = [(Fault.LATE, 4.0), *UNANSWERED_REPEATS]
+    submit_task(world)
+    world.run_for(0.2)
+    server = find_server(world)
+    while not server.refused_up_to:
+        world.run_for(0.001)
+    world.run_for(0.006)
+    restart_server(world, server, 0.001)
+    world.run_for(10.0)
+    check_single_run(world)
+
+
+@pytest.mark.parametrize("takes_over", [False, True])
+@pytest.mark.parametrize("late", [9.0, 11.9])
+def test_late_start_does_not_run_on_an_unreachable_later_instance(
+    late: float, takes_over: bool
+) -> None:
+    """Guards against a task that starts elsewhere while a late start may arrive."""
+    world = make_world(2)
+    world.start_faults = [(Fault.LATE, late)]
+    submit_task(world)
+    world.run_for(0.12)
+    server = find_server(world)
+    world.planner.cut.add(server.name)
+    if takes_over:
+        world.planner.alive = False
+        world.take_over().cut.add(server.name)
+    restart_server(world, server, 1.0)
+    world.run_for(40.0)
+    check_single_run(world)
+
+
+def test_refused_repeat_does_not_settle_the_start_before() -> None:
+    """Guards against a task started elsewhere while its first start is under way."""
+    world = make_world(2)
+    world.start_faults = [(Fault.LATE, 0.7)]
+    submit_task(world)
+    world.run_for(0.2)
+    world.refusing.add(find_server(world).name)
+    world.run_for(5.0)
+    check_single_run(world)
+
+
+def test_previous_planner_may_renew_leases_after_a_takeover() -> None:
+    """Guards against leases counted from a takeover while two planners overlap."""
+    world = make_world(2)
+    submit_task(world)
+    world.run_for(2.0)
+    server = find_server(world)
+    world.take_over(overlaps=True).cut.add(server.name)
+    world.run_for(20.0)
+    check_single_run(world)
+
+
+def test_late_renewal_extends_the_lease_of_a_later_instance() -> None:
+    """Guards against a lease that a poll of the instance before has extended."""
+    world = make_world(2)
+    submit_task(world)
+    world.run_for(2.0)
+    server = find_server(world)
+    world.faults = [(Fault.LATE, 9.0)] * 2
+    world.run_for(0.2)
+    world.faults = []
+    restart_server(world, server, 0.2)
+    world.run_for(2.0)
+    world.planner.cut.add(find_server(world).name)
+    world.run_for(30.0)
+    check_single_run(world)
--- a/tests/planner/world.py
+++ b/tests/planner/world.py
@@ -24,6 +24,7 @@
 from cardamomdyke.model.queues import Account, QueuePool, QueueTables, make_queue_tables
 from cardamomdyke.model.servers import (
     CallFault,
+    RefusalKind,
     RunLists,
     ServerEntry,
 )
@@ -118,6 +119,7 @@
     applied_records: int = 0
     polled: set[str] = field(default_factory=set)
     watched: set[str] = field(default_factory=set)
+    start_calls: dict[SendStart, int] = field(default_factory=dict)
 
 
 @dataclass
@@ -130,6 +132,8 @@
     planners: list[Planner] = field(default_factory=list)
     faults: list[tuple[Fault, float]] = field(default_factory=list)
     start_fault: Fault = Fault.NONE
+    start_faults: list[tuple[Fault, float]] = field(default_factory=list)
+    refusing: set[str] = field(default_factory=set)
     listed: dict[str, ServerEntry] = field(default_factory=dict)
     evacuated: dict[str, float] = field(default_factory=dict)
     accounts: tuple[Account, ...] = ()
@@ -260,13 +264,21 @@
         return self.planners[-1]
 
     def take_over(
-        self, unix_offset: float = 0.0, remote_factor: float = 1.0
+        self,
+        unix_offset: float = 0.0,
+        remote_factor: float = 1.0,
+        overlaps: bool = False,
     ) -> Planner:
-        """Start a new planner once the authority of the previous one has ended."""
-        if self.planners:
+        """Start a new planner once the authority of the previous one has ended.
+
+        With `overlaps`, it starts at once, as when the store deals all partitions anew.
+        """
+        if self.planners and not overlaps:
             previous = self.planner
             previous.reaches_store = False
             self.run_for(max(0.0, previous.authority_until - self.now))
+        elif self.planners:
+            self.planner.reaches_store = False
         self.epoch += 1
         ledger = self.read_ledger()
         limits = Limits(
@@ -390,30 +402,27 @@
         timeout: float,
         execute: Callable[[], object],
         answer: Callable[[object, CallFault | None], None],
-        faulty: bool = True,
         fault: Fault = Fault.NONE,
+        delay: float = 0.0,
     ) -> None:
         """Send one call; `answer` gets its result or a `CallFault`."""
-        delay = 0.0
-        if faulty and self.faults:
+        if self.faults:
             fault, delay = self.faults.pop(0)
         server = self.cluster.servers.get(name)
         unreachable = server is None or not server.up or name in planner.cut
         lost = CallFault(False, None, "no answer")
-        instance = server.instance if server is not None else 0
 
         def reply(result: object, failure: CallFault | None) -> None:
             if self.is_running(planner) and self.now >= planner.frozen_until:
                 answer(result, failure)
 
         def arrive() -> None:
-            if server is None or not server.up or name in planner.cut:
+            # A late call is carried out by whatever instance answers by then.
+            cut = name in planner.cut and fault is not Fault.LATE
+            if server is None or not server.up or cut:
                 if fault is Fault.NONE:
                     self.schedule(timeout, lambda: reply(None, lost))
                 return
-            if fault is Fault.LATE and server.instance != instance:
-                # A restarted server has lost the calls that it delayed.
-                return
             try:
                 result, failure = execute(), None
             except RefusedError as error:
@@ -435,10 +444,15 @@
         if server is None or job is None:
             return
 
+        number = next(self.sequence)
+        planner.start_calls[action] = number
+
         def handle_answer(result: object, failure: CallFault | None) -> None:
-            handle_start_answer(
-                state, action.server, action.task, action.run, failure, self.now
-            )
+            # A repeat of the start cancels the call before it.
+            if planner.start_calls.get(action) == number:
+                handle_start_answer(
+                    state, action.server, action.task, action.run, failure, self.now
+                )
 
         lease_until = grant_start_lease(
             state, server, action.task, action.run, self.now
@@ -449,6 +463,13 @@
         platform_server = self.cluster.servers.get(action.server)
         specification = job.record.order.specification
         checkpoint = find_checkpoint(state, action.task)
+        fault, delay = self.start_fault, 0.0
+        if self.start_faults:
+            fault, delay = self.start_faults.pop(0)
+        if fault is Fault.NONE and action.server in self.refusing:
+            unwell = CallFault(True, RefusalKind.UNWELL, "unwell")
+            self.schedule(TRANSIT_SECONDS, lambda: handle_answer(None, unwell))
+            return
         self.call(
             planner,
             action.server,
@@ -466,7 +487,8 @@
                 )
             ),
             handle_answer,
-            fault=self.start_fault,
+            fault=fault,
+            delay=delay,
         )
         if action.server not in planner.watched:
             planner.watched.add(action.server)
