Send no start whose attempt has ended while it waited

Cause: starts wait behind three calls of the same server, each up to 0.7 s; the attempt was not checked again before the send, so a start could go out after its task had been given up there and had started elsewhere (a pause of the daemon has the same effect). Change: a start gets a lease only while its attempt is current and is not being stopped. Evidence: test_queued_start_is_not_sent_after_its_attempt_has_ended failed before (a lease was granted after the cancellation) and passes now.

--- a/src/cardamomdyke/planner/replies.py
+++ b/src/cardamomdyke/planner/replies.py
@@ -53,14 +53,14 @@
     Returns
     -------
     float or None
-        Expiry by the server's clock, in seconds; None if that clock is not known.
+        Expiry by the server's clock, in seconds; None if that clock is not known, or
+        if the attempt has ended or is being stopped meanwhile.
     """
     record_start(state, server, task, run, now)
     found = find_member(state, server, task, run)
-    if server.reading is None:
+    if server.reading is None or found is None or found[2].stop_requested:
         return None
-    if found is not None:
-        found[2].last_sent_at = now
+    found[2].last_sent_at = now
     lease_until = estimate_clock(server.reading, now) + START_LEASE_SECONDS
     server.lease_until = max(server.lease_until, lease_until)
     return lease_until
--- a/tests/planner/test_late_orders.py
+++ b/tests/planner/test_late_orders.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from cardamomdyke.model.orders import TaskId
+from cardamomdyke.planner.replies import grant_start_lease
 from cardamomdyke_standins.platform_server import PlatformServer, StepPlan
 from tests.planner.test_planner import JOB, make_step, make_world
 from tests.planner.world import Fault, World
@@ -113,6 +115,21 @@
     check_single_run(world)
 
 
+def test_queued_start_is_not_sent_after_its_attempt_has_ended() -> None:
+    """Guards against a start that waits behind slow calls until its task runs again."""
+    world = make_world(2)
+    submit_task(world)
+    world.run_for(2.0)
+    server = world.planner.state.servers[find_server(world).name]
+    task = TaskId(JOB, 0, 0, 0)
+    assert grant_start_lease(world.planner.state, server, task, 1, world.now)
+    world.cancel(JOB)
+    world.run_for(0.2)
+    assert grant_start_lease(world.planner.state, server, task, 1, world.now) is None
+    world.run_for(2.0)
+    assert grant_start_lease(world.planner.state, server, task, 1, world.now) is None
+
+
 def test_previous_planner_may_renew_leases_after_a_takeover() -> None:
     """Guards against leases counted from a takeover while two planners overlap."""
     world = make_world(2)
