Count inherited leases from the end of the previous planner's authority

Cause: when the store deals all partitions anew, the previous planner learns of it with its next join at the latest and may renew leases for up to 1.1 s after its successor has taken over. The successor counted the leases of servers that it does not reach from its takeover. Change: inherited leases are counted from the takeover plus the longest authority of a planner. Worse: work on servers that a new planner does not reach starts elsewhere 1.1 s later than before.

--- a/src/cardamomdyke/control/leadership.py
+++ b/src/cardamomdyke/control/leadership.py
@@ -21,6 +21,8 @@
 # Authority ends this much before the membership in the store, because clocks run at
 # different speeds.
 AUTHORITY_MARGIN_SECONDS = 0.1
+# A planner that the store no longer counts learns of it within this time.
+LONGEST_AUTHORITY_SECONDS = MEMBERSHIP_SECONDS - AUTHORITY_MARGIN_SECONDS
 # Pause after a term that failed. The membership has expired by then, even if the store
 # does not answer, and another daemon plans.
 PAUSE_SECONDS = 2.0 * MEMBERSHIP_SECONDS
--- a/src/cardamomdyke/control/terms.py
+++ b/src/cardamomdyke/control/terms.py
@@ -11,7 +11,7 @@
     make_server_feed,
 )
 from cardamomdyke.control.driver import TICK_PERIOD_SECONDS, Term
-from cardamomdyke.control.leadership import Leadership
+from cardamomdyke.control.leadership import LONGEST_AUTHORITY_SECONDS, Leadership
 from cardamomdyke.control.recorder import Recorder
 from cardamomdyke.control.supervision import log_crash
 from cardamomdyke.jobs.ledger import Change
@@ -65,6 +65,7 @@
             bounds.gang_wait_seconds,
             bounds.stop_grace_seconds,
             bounds.remote_factor,
+            LONGEST_AUTHORITY_SECONDS,
         ),
         fence=fence,
         took_over_at=now,
--- a/src/cardamomdyke/planner/inputs.py
+++ b/src/cardamomdyke/planner/inputs.py
@@ -130,9 +130,12 @@
         Maximum time from a stop to the end of the run.
     remote_factor : float
         Run time of a task away from its data, as a multiple of that near it.
+    overlap_seconds : float
+        Longest time after a takeover for which an earlier planner may renew leases.
     """
 
     lease_seconds: float
     gang_wait_seconds: float
     stop_seconds: float
     remote_factor: float = 1.0
+    overlap_seconds: float = 0.0
--- a/src/cardamomdyke/planner/polls.py
+++ b/src/cardamomdyke/planner/polls.py
@@ -40,6 +40,7 @@
     PlannerState,
     Server,
     Unit,
+    find_takeover_expiry,
     find_unit,
     list_holders,
 )
@@ -94,9 +95,7 @@
         server = state.servers.get(name)
         if server is None:
             server = state.servers[name] = Server(entry)
-            server.inherited_until = find_inherited_expiry(
-                state.took_over_at, state.limits.lease_seconds
-            )
+            server.inherited_until = find_takeover_expiry(state)
         elif entry.draining and not server.entry.draining:
             state.note("server.draining", name, remaining=entry.remaining_seconds)
         server.entry = entry
--- a/src/cardamomdyke/planner/progress.py
+++ b/src/cardamomdyke/planner/progress.py
@@ -19,7 +19,6 @@
 from cardamomdyke.planner.crashes import list_suspect_indices
 from cardamomdyke.planner.headroom import record_arrival
 from cardamomdyke.planner.inputs import UnitKey
-from cardamomdyke.planner.leases import find_inherited_expiry
 from cardamomdyke.planner.occurrences import open_next, open_occurrences
 from cardamomdyke.planner.shares import check_share
 from cardamomdyke.planner.state import (
@@ -30,6 +29,7 @@
     PlannerState,
     Server,
     Unit,
+    find_takeover_expiry,
 )
 
 
@@ -293,8 +293,6 @@
     if server is None:
         entry = ServerEntry(name, "", "", "", Shape())
         server = Server(entry, listed=False, failing_since=now)
-        server.inherited_until = find_inherited_expiry(
-            state.took_over_at, state.limits.lease_seconds
-        )
+        server.inherited_until = find_takeover_expiry(state)
         state.servers[name] = server
     return server
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -22,7 +22,7 @@
     UnsettledStart,
     UrgentArrival,
 )
-from cardamomdyke.planner.leases import ClockReading
+from cardamomdyke.planner.leases import ClockReading, find_inherited_expiry
 
 
 class MemberPhase(StrEnum):
@@ -465,6 +465,16 @@
     return (job, unit) if unit is not None else (None, None)
 
 
+def find_takeover_expiry(state: PlannerState) -> float:
+    """Return when all leases that earlier planners have granted are over.
+
+    An earlier planner may go on renewing leases for a while after the takeover, since
+    the store can deal the partitions anew before that planner has heard of it.
+    """
+    granted_before = state.took_over_at + state.limits.overlap_seconds
+    return find_inherited_expiry(granted_before, state.limits.lease_seconds)
+
+
 def list_holders(
     state: PlannerState, server: Server
 ) -> Iterator[tuple[Job, Unit, Member]]:
--- a/src/cardamomdyke/planner/unsettled.py
+++ b/src/cardamomdyke/planner/unsettled.py
@@ -184,7 +184,8 @@
     """
     if member.inherited:
         # Records do not say when an earlier planner sent the start last.
-        return state.took_over_at + LATE_ORDER_SECONDS
+        sent_before = state.took_over_at + state.limits.overlap_seconds
+        return sent_before + LATE_ORDER_SECONDS
     task = job.make_task_id(unit, member.index)
     start = find_start(state, server.entry.name, task, attempt.run)
     return 0.0 if start is None else start.sent_at + LATE_ORDER_SECONDS
--- a/tests/planner/world.py
+++ b/tests/planner/world.py
@@ -282,7 +282,11 @@
         self.epoch += 1
         ledger = self.read_ledger()
         limits = Limits(
-            MAX_LEASE_SECONDS, GANG_TIMEOUT_SECONDS, STOP_SECONDS, remote_factor
+            MAX_LEASE_SECONDS,
+            GANG_TIMEOUT_SECONDS,
+            STOP_SECONDS,
+            remote_factor,
+            AUTHORITY_SECONDS,
         )
         state = PlannerState(
             limits, self.epoch, self.now, unix_offset, self.make_tables()
