Play late starts, refusals, pauses and overlapping planners in the histories

Cause: the histories disturbed starts only by chance among polls, never paused a planner that goes on in its term, and dropped the answers of a paused planner. Change: rules that make starts late, refuse starts, pause the planner and let a second one begin at once; a paused planner reads its answers when it goes on.

--- a/tests/planner/test_histories.py
+++ b/tests/planner/test_histories.py
@@ -163,6 +163,15 @@
         self.world.faults_injected = True
         self.world.faults = faults
 
+    @rule(faults=FAULTS)
+    def disturb_starts(self, faults: list[tuple[Fault, float]]) -> None:
+        self.world.faults_injected = True
+        self.world.start_faults = faults
+
+    @rule(names=st.sets(st.sampled_from(SERVERS), max_size=1))
+    def refuse_starts(self, names: set[str]) -> None:
+        self.world.refusing = names
+
     @rule()
     def kill_planner(self) -> None:
         self.world.faults_injected = True
@@ -175,6 +184,18 @@
         self.world.planner.frozen_until = self.world.now + seconds
         self.world.take_over()
 
+    @rule(seconds=st.sampled_from([1.0, 4.0, 9.0]))
+    def pause_planner(self, seconds: float) -> None:
+        """Pause the planner, which goes on in its term."""
+        self.world.faults_injected = True
+        self.world.planner.frozen_until = self.world.now + seconds
+
+    @rule(names=st.sets(st.sampled_from(SERVERS)))
+    def take_over_at_once(self, names: set[str]) -> None:
+        """Let a planner begin that does not reach some servers, beside the old one."""
+        self.world.faults_injected = True
+        self.world.take_over(overlaps=True).cut |= names
+
     @rule(names=st.sets(st.sampled_from(SERVERS)))
     def cut_new_planner(self, names: set[str]) -> None:
         """Cut off a new planner from some servers, after the old one has ended."""
@@ -231,6 +252,8 @@
         world = self.world
         world.store_up = True
         world.faults = []
+        world.start_faults = []
+        world.refusing = set()
         # A gang larger than its account's quota could never run.
         world.set_quota("owner", 0)
         for name in SERVERS:
--- a/tests/planner/world.py
+++ b/tests/planner/world.py
@@ -379,8 +379,11 @@
             self.schedule(STORE_DELAY_SECONDS, answer)
 
         def answer() -> None:
+            if self.now < planner.frozen_until:
+                self.schedule(planner.frozen_until - self.now, answer)
+                return
             planner.recording = False
-            if self.is_running(planner) and self.now >= planner.frozen_until:
+            if self.is_running(planner):
                 handle_recorded(planner.state, batch, self.now)
                 self.carry_out(planner)
 
@@ -417,7 +420,11 @@
         lost = CallFault(False, None, "no answer")
 
         def reply(result: object, failure: CallFault | None) -> None:
-            if self.is_running(planner) and self.now >= planner.frozen_until:
+            if self.now < planner.frozen_until:
+                # A paused planner reads its answers when it goes on.
+                wait = planner.frozen_until - self.now
+                self.schedule(wait, lambda: reply(result, failure))
+            elif self.is_running(planner):
                 answer(result, failure)
 
         def arrive() -> None:
