Send a start once, on one connection

What callers saw: nothing yet that was traced to it; it leads to two runs at the same time. Cause: when a reused connection closes before the first byte of the answer, libcurl sends the request again on another one. The planner saw one call with one certain answer: a refusal of the second request (503 of a server that reports itself unwell, which "has then done nothing") was taken for both, so the task started elsewhere at once while the first request had begun a run. Change: an HTTP call can ask to fail instead of being sent again; starts do. The failure is uncertain, so the planner looks at the server before it repeats the start. Worse: a start on a connection that the server has just closed is repeated after about 0.3 s instead of at once. New connections are not opened more often. Conclusion: it needs a reset of a connection and a refusal only, no late order and no new instance; nothing proves that it is the reported one.

--- a/src/cardamomdyke/adapters/http.py
+++ b/src/cardamomdyke/adapters/http.py
@@ -54,15 +54,21 @@
 
     Attributes
     ----------
+    single_send : bool
+        True to abort the call instead of sending its request again.
     sent : bool
         True once a connection, new or reused, was ready for the request.
     """
 
+    single_send: bool = False
     sent: bool = False
 
     def record_connection(self, *addresses: object) -> int:
         """Handle libcurl's callback between connecting and sending."""
+        resends = self.sent
         self.sent = True
+        if resends and self.single_send:
+            return int(pycurl.PREREQFUNC_ABORT)
         return int(pycurl.PREREQFUNC_OK)
 
 
@@ -86,6 +92,9 @@
         True to open a new connection, which a request that must not run twice
         needs: libcurl resends a request when a reused connection closes before the
         first reply byte.
+    single_send : bool
+        True to fail instead of resending, as an uncertain call. Cheaper than a new
+        connection for each call.
     progress_timeout_seconds : int
         Seconds without a byte in either direction after which the call fails; 0 for no
         limit but ``timeout_seconds``.
@@ -97,6 +106,7 @@
     body: bytes | None = None
     timeout_seconds: float = 3.0
     fresh_connection: bool = False
+    single_send: bool = False
     progress_timeout_seconds: int = 0
 
 
@@ -136,7 +146,7 @@
     Result of HTTPResponse or TransportFault
         Any complete HTTP reply, whatever its status.
     """
-    tracker = SendTracker()
+    tracker = SendTracker(call.single_send)
 
     def prepare_curl(curl: pycurl.Curl) -> None:
         curl.setopt(pycurl.PREREQFUNCTION, tracker.record_connection)
--- a/src/cardamomdyke/platform/servers.py
+++ b/src/cardamomdyke/platform/servers.py
@@ -246,7 +246,8 @@
         }
         if order.checkpoint:
             body["checkpoint"] = order.checkpoint
-        return await self._send_command(entry, "/run-start", body)
+        # A resent start could be refused though the first one is carried out.
+        return await self._send_command(entry, "/run-start", body, single_send=True)
 
     async def stop_run(
         self, entry: ServerEntry, fence: int, task: TaskId, run: int
@@ -319,9 +320,13 @@
             return Error(CallFault(False, None, detail))
 
     async def _send_command(
-        self, entry: ServerEntry, path: str, body: dict[str, Any]
+        self,
+        entry: ServerEntry,
+        path: str,
+        body: dict[str, Any],
+        single_send: bool = False,
     ) -> Result[float, CallFault]:
-        result = await self._call(entry, path, body, ORDER_TIMEOUT_SECONDS)
+        result = await self._call(entry, path, body, ORDER_TIMEOUT_SECONDS, single_send)
         if result.is_error():
             return Error(result.error)
         try:
@@ -335,7 +340,12 @@
         return Ok((clock or 0.0) / MILLISECONDS)
 
     async def _call(
-        self, entry: ServerEntry, path: str, body: dict[str, Any], timeout: float
+        self,
+        entry: ServerEntry,
+        path: str,
+        body: dict[str, Any],
+        timeout: float,
+        single_send: bool = False,
     ) -> Result[HTTPResponse, CallFault]:
         call = HttpCall(
             "POST",
@@ -347,6 +357,7 @@
             },
             body=encode(body),
             timeout_seconds=timeout,
+            single_send=single_send,
         )
         result = await send_call(self.http, call)
         if result.is_error():
