Stop a late start before its missing run ends

Cause: a run that was confirmed while a later instance answered a poll was skipped there, and the next poll ended it without a stop of its start under way. Change: each run that its server no longer knows ends in the same way: after a stop, if a start of it may still take effect. A stop is sent once for that.

--- a/src/cardamomdyke/planner/polls.py
+++ b/src/cardamomdyke/planner/polls.py
@@ -243,10 +243,10 @@
             continue
         run = (job.make_task_id(unit, member.index), unit.attempt.run)
         lost = run not in present and member.confirmed_at <= sent_at
+        member.stop_confirmed_at = 0.0
         if member.phase is MemberPhase.RUNNING and lost:
             end_lost_run(state, server, job, unit, member, now)
-        if member.phase is MemberPhase.STARTING and member.stop_requested:
-            member.stop_confirmed_at = 0.0
+        elif member.phase is MemberPhase.STARTING and member.stop_requested:
             send_stop(state, job, unit, member, now)
 
 
@@ -258,9 +258,9 @@
     member: Member,
     now: float,
 ) -> None:
-    """End a run that a restart of its server has ended.
+    """End a run that its server no longer knows.
 
-    While a start of it may still take effect, its end waits until the new instance has
+    While a start of it may still take effect, its end waits until the server has
     confirmed a stop.
     """
     attempt = unit.attempt
@@ -271,7 +271,9 @@
         end_member(state, job, unit, member, None, now)
         return
     member.phase = MemberPhase.STARTING
-    abort_attempt(state, job, unit, "the server restarted", now)
+    abort_attempt(state, job, unit, "the run was lost with its server", now)
+    if member.stop_sent_at < now:
+        send_stop(state, job, unit, member, now)
 
 
 def find_member(
@@ -418,7 +420,10 @@
                 server=server.entry.name,
                 phase=member.phase.value,
             )
-            end_member(state, job, unit, member, None, now)
+            if member.phase is MemberPhase.RUNNING:
+                end_lost_run(state, server, job, unit, member, now)
+            else:
+                end_member(state, job, unit, member, None, now)
 
 
 def check_gone(member: Member, sent_at: float) -> bool:
--- a/tests/planner/test_late_orders.py
+++ b/tests/planner/test_late_orders.py
@@ -3,7 +3,11 @@
 import pytest
 
 from cardamomdyke.model.orders import TaskId
+from cardamomdyke.model.servers import RunLists
+from cardamomdyke.planner.actions import PollOrder, SendStop
+from cardamomdyke.planner.polls import handle_poll_answer
 from cardamomdyke.planner.replies import grant_start_lease
+from cardamomdyke.planner.state import MemberPhase
 from cardamomdyke_standins.platform_server import PlatformServer, StepPlan
 from tests.planner.test_planner import JOB, make_step, make_world
 from tests.planner.world import Fault, World
@@ -155,3 +159,32 @@
     world.planner.cut.add(find_server(world).name)
     world.run_for(30.0)
     check_single_run(world)
+
+
+def test_run_confirmed_during_a_poll_ends_only_after_its_stop() -> None:
+    """Guards against a lost run that starts again before its late start is stopped.
+
+    The answer to the start's repeat arrives while a later instance answers a poll.
+    """
+    world = make_world(2)
+    world.start_faults = [(Fault.LATE, 9.0)]
+    submit_task(world)
+    world.run_for(0.2)
+    server = find_server(world)
+    while not server.runs:
+        world.run_for(0.001)
+    sent_at = world.now
+    state = world.planner.state
+    (unit,) = state.jobs[JOB].units.values()
+    assert unit.attempt is not None
+    (member,) = unit.attempt.members.values()
+    while member.phase is not MemberPhase.RUNNING:
+        world.run_for(0.001)
+    task = TaskId(JOB, 0, 0, 0)
+    assert (task, 1) in state.unsettled_starts[server.name]
+    for seconds in (0.0, 0.05):
+        order = PollOrder(sent_at + seconds, 0, None, 0.0)
+        lists = RunLists(0.1 + seconds, 2, (), ())
+        handle_poll_answer(state, server.name, order, lists, world.now + seconds)
+    assert member.phase is not MemberPhase.ENDED
+    assert SendStop(server.name, task, 1) in state.actions
