Poll a server that may carry out a late start without a pause

Cause: what is known of late orders was of no use while a server was idle or not listed. An idle server is polled each 2 s, so a late start had up to 2 s on a new instance before its stop; and the time of an unanswered renewal was kept with the server's entry, which is dropped when it lapses without runs. Change: a server with unsettled starts is polled like one with runs, at once when it answers again; unanswered renewals are kept by the server's name.

--- a/src/cardamomdyke/control/driver.py
+++ b/src/cardamomdyke/control/driver.py
@@ -38,6 +38,7 @@
     apply_timeouts,
     handle_poll_answer,
     handle_poll_fault,
+    is_busy,
     make_poll_order,
     update_servers,
 )
@@ -449,7 +450,7 @@
         if server.failing_since:
             await asyncio.sleep(FAILING_POLL_SECONDS)
             return
-        if server.holders or server.unknown_runs:
+        if is_busy(self.state, server):
             return
         if not renewed:
             # A start may follow, and it needs a valid lease.
--- a/src/cardamomdyke/planner/polls.py
+++ b/src/cardamomdyke/planner/polls.py
@@ -51,7 +51,7 @@
     find_arrival,
     find_latest_arrival,
     find_start,
-    forget_settled_starts,
+    forget_old_orders,
     is_replaced,
     settle_listed_run,
     stop_unsettled_starts,
@@ -129,6 +129,16 @@
     return server is not None and bool(server.holders or server.unknown_runs)
 
 
+def is_busy(state: PlannerState, server: Server) -> bool:
+    """Return whether a server has runs, or may carry out a late start.
+
+    Such a server is polled without a pause, so that a new instance is soon told to
+    refuse late starts.
+    """
+    used = bool(server.holders or server.unknown_runs)
+    return used or server.entry.name in state.unsettled_starts
+
+
 def make_poll_order(
     state: PlannerState, server: Server, now: float, may_grant: bool
 ) -> PollOrder:
@@ -153,7 +163,7 @@
     acknowledged = server.acknowledged if fresh else 0
     if acknowledged <= server.confirmed_end:
         acknowledged = 0
-    busy = bool(server.holders or server.unknown_runs)
+    busy = is_busy(state, server)
     settled = server.processed_end == max(acknowledged, server.confirmed_end)
     # A server that did not answer is polled without waiting, since only the next poll
     # renews the lease.
@@ -229,8 +239,8 @@
                 abort_attempt(state, job, unit, "the server crashed", now)
     stop_unsettled_starts(state, server, now)
     server.late_grant_until = find_latest_arrival(state, server)
-    if server.unanswered_grant_at:
-        latest = server.unanswered_grant_at + LATE_ORDER_SECONDS
+    if server.entry.name in state.unanswered_grants:
+        latest = state.unanswered_grants[server.entry.name] + LATE_ORDER_SECONDS
         server.late_grant_until = max(server.late_grant_until, latest)
     if not previous:
         return
@@ -451,8 +461,8 @@
     if fault.refusal is RefusalKind.FENCE:
         state.superseded = True
         return
-    if not fault.certain:
-        server.unanswered_grant_at = server.grant_sent_at
+    if not fault.certain and server.grant_sent_at:
+        state.unanswered_grants[name] = server.grant_sent_at
     if not server.failing_since:
         server.failing_since = now
         state.note("server.lost", name, detail=fault.detail)
@@ -470,7 +480,7 @@
 
 def apply_timeouts(state: PlannerState, now: float) -> None:
     """Repeat unanswered stops, and release silent servers whose leases expired."""
-    forget_settled_starts(state, now)
+    forget_old_orders(state, now)
     for server in list(state.servers.values()):
         for job, unit, member in list_holders(state, server):
             pending = member.stop_requested and not member.stop_confirmed_at
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -286,8 +286,6 @@
         End of the longest lease granted by this planner, on the server's clock.
     grant_sent_at : float
         When the newest poll that renews the lease was sent; 0 for never.
-    unanswered_grant_at : float
-        When the newest such poll without an answer was sent; 0 for never.
     late_grant_until : float
         Until when an order to an earlier instance may extend the lease; 0 if none can.
     inherited_until : float
@@ -324,7 +322,6 @@
     reading: ClockReading | None = None
     lease_until: float = 0.0
     grant_sent_at: float = 0.0
-    unanswered_grant_at: float = 0.0
     late_grant_until: float = 0.0
     inherited_until: float = 0.0
     last_contact_at: float = 0.0
@@ -384,6 +381,9 @@
         Runs that were lost at their start with servers that are silent since.
     unsettled_starts : dict of str to dict of RunKey to UnsettledStart
         Starts that may still take effect, by name of the server.
+    unanswered_grants : dict of str to float
+        When the newest unanswered poll that renews a lease was sent, by name of the
+        server. Outlives the server's entry.
     """
 
     limits: Limits
@@ -406,6 +406,7 @@
     unsettled_starts: dict[str, dict[RunKey, UnsettledStart]] = field(
         default_factory=dict
     )
+    unanswered_grants: dict[str, float] = field(default_factory=dict)
 
     def note(self, kind: str, subject: str, **facts: object) -> None:
         """Add an action that writes a log line."""
--- a/src/cardamomdyke/planner/unsettled.py
+++ b/src/cardamomdyke/planner/unsettled.py
@@ -78,8 +78,8 @@
     return state.unsettled_starts.get(name, {}).get((task, run))
 
 
-def forget_settled_starts(state: PlannerState, now: float) -> None:
-    """Forget the starts of which no run can be left."""
+def forget_old_orders(state: PlannerState, now: float) -> None:
+    """Forget the starts of which no run can be left, and the renewals before them."""
     lease_limit = state.limits.lease_seconds
     for name, starts in list(state.unsettled_starts.items()):
         for key, start in list(starts.items()):
@@ -88,6 +88,9 @@
                 del starts[key]
         if not starts:
             del state.unsettled_starts[name]
+    for name, sent_at in list(state.unanswered_grants.items()):
+        if now - sent_at > LATE_ORDER_SECONDS:
+            del state.unanswered_grants[name]
 
 
 def stop_unsettled_starts(state: PlannerState, server: Server, now: float) -> None:
--- a/tests/planner/test_late_orders.py
+++ b/tests/planner/test_late_orders.py
@@ -188,3 +188,118 @@
         handle_poll_answer(state, server.name, order, lists, world.now + seconds)
     assert member.phase is not MemberPhase.ENDED
     assert SendStop(server.name, task, 1) in state.actions
+
+
+def abandon_start(world: World, late: float) -> str:
+    """Let a late start be abandoned; return its server once the task runs elsewhere."""
+    world.start_faults = [(Fault.LATE, late), *UNANSWERED_REPEATS]
+    submit_task(world)
+    world.run_for(0.2)
+    server = find_server(world)
+    world.run_for(2.5)
+    assert find_server(world) is not server
+    return server.name
+
+
+@pytest.mark.parametrize("late", [3.0, 3.5])
+def test_abandoned_start_does_not_run_before_a_later_instance_is_polled(
+    late: float,
+) -> None:
+    """Guards against a late start that reaches a restarted server before its stop."""
+    world = make_world(2)
+    server = world.cluster.servers[abandon_start(world, late)]
+    restart_server(world, server, 0.01)
+    world.run_for(10.0)
+    check_single_run(world)
+
+
+def test_abandoned_start_does_not_run_on_an_unreachable_later_instance() -> None:
+    """Guards against a late start on a later instance that the planner cannot stop."""
+    world = make_world(2)
+    server = world.cluster.servers[abandon_start(world, 9.0)]
+    world.planner.cut.add(server.name)
+    restart_server(world, server, 1.0)
+    world.run_for(20.0)
+    check_single_run(world)
+
+
+def test_late_start_does_not_run_on_an_instance_listed_after_the_leases() -> None:
+    """Guards against a silent server given up while a late start may still arrive."""
+    world = make_world(2)
+    # The server is polled directly after its start, so its lease ends early.
+    world.run_for(0.9)
+    world.start_faults = [(Fault.LATE, 11.9)]
+    submit_task(world)
+    world.run_for(0.2)
+    server = find_server(world)
+    world.planner.cut.add(server.name)
+    restart_server(world, server, 11.2)
+    world.run_for(40.0)
+    check_single_run(world)
+
+
+def test_start_of_a_done_task_does_not_run_on_a_later_instance() -> None:
+    """Guards against the late first copy of a start whose repeat has ended `done`."""
+    world = make_world(1)
+    world.start_faults = [(Fault.LATE, 4.0)]
+    world.submit(JOB, [(make_step(1, 8), StepPlan(0.3))])
+    world.run_for(3.5)
+    (server,) = world.cluster.servers.values()
+    assert TaskId(JOB, 0, 0, 0) in world.acknowledged_done
+    restart_server(world, server, 0.01)
+    world.run_for(10.0)
+    assert world.violations == []
+
+
+def test_late_renewal_is_kept_in_mind_while_a_server_is_not_listed() -> None:
+    """Guards against a lease extended by a poll that its server's entry outlived."""
+    world = make_world(2)
+    world.faults = [(Fault.LATE, 11.0)] * 2
+    world.run_for(4.0)
+    assert world.faults == []
+    sent_by = world.now
+    for name, server in world.cluster.servers.items():
+        server.crash(world.now)
+        del world.listed[name]
+    world.run_for(1.0)
+    assert not world.planner.state.servers
+    for name, server in world.cluster.servers.items():
+        server.restart(world.now)
+        world.list_server(name)
+    world.run_for(0.5)
+    submit_task(world)
+    world.run_for(0.5)
+    server = find_server(world)
+    world.planner.cut.add(server.name)
+    assert world.now < sent_by + 7.0
+    world.run_for(30.0)
+    check_single_run(world)
+
+
+def test_late_acknowledgement_does_not_drop_an_end_of_a_later_instance() -> None:
+    """Guards against a done task that starts again because its end was never read."""
+    world = make_world(1)
+    (server,) = world.cluster.servers.values()
+    world.submit("00000000000000e1", [(make_step(1, 8), StepPlan(0.5))])
+    while not server.last_end:
+        world.run_for(0.001)
+    planner_server = world.planner.state.servers[server.name]
+    while planner_server.acknowledged == 0:
+        world.run_for(0.001)
+    # The next poll acknowledges the end, and is late.
+    world.faults = [(Fault.LATE, 4.0)]
+    while world.faults:
+        world.run_for(0.001)
+    sent_at = world.now
+    restart_server(world, server, 0.2)
+    world.run_for(2.0)
+    world.submit(JOB, [(make_step(1, 8), StepPlan(sent_at + 3.5 - world.now))])
+    while not server.runs:
+        world.run_for(0.01)
+    # The server does not answer while its run ends.
+    world.run_for(sent_at + 3.3 - world.now)
+    world.planner.cut.add(server.name)
+    world.run_for(sent_at + 4.5 - world.now)
+    world.planner.cut.clear()
+    world.run_for(10.0)
+    assert world.violations == []
