Pass task and run alike to the functions of unsettled starts

Cause: confirm_stop took a pair where its neighbours take two arguments, and a second stop had no reason beside it. Change: the signature, and a comment. Conclusion: no change of behaviour.

--- a/src/cardamomdyke/planner/polls.py
+++ b/src/cardamomdyke/planner/polls.py
@@ -283,6 +283,7 @@
     member.phase = MemberPhase.STARTING
     abort_attempt(state, job, unit, "the run was lost with its server", now)
     if member.stop_sent_at < now:
+        # A stop that was sent before may have reached the instance before.
         send_stop(state, job, unit, member, now)
 
 
--- a/src/cardamomdyke/planner/replies.py
+++ b/src/cardamomdyke/planner/replies.py
@@ -200,7 +200,7 @@
         return
     if server is None or server.instance != instance:
         return
-    confirm_stop(state, server, (task, run))
+    confirm_stop(state, server, task, run)
     found = find_member(state, server, task, run)
     if found is not None:
         found[2].stop_confirmed_at = now
--- a/src/cardamomdyke/planner/unsettled.py
+++ b/src/cardamomdyke/planner/unsettled.py
@@ -7,7 +7,7 @@
 
 from cardamomdyke.model.orders import TaskId
 from cardamomdyke.planner.actions import SendStop
-from cardamomdyke.planner.inputs import RunKey, UnsettledStart
+from cardamomdyke.planner.inputs import UnsettledStart
 from cardamomdyke.planner.leases import find_inherited_expiry
 from cardamomdyke.planner.state import (
     Attempt,
@@ -129,9 +129,9 @@
     )
 
 
-def confirm_stop(state: PlannerState, server: Server, key: RunKey) -> None:
+def confirm_stop(state: PlannerState, server: Server, task: TaskId, run: int) -> None:
     """Record that the current instance of a server refuses a start from now on."""
-    start = find_start(state, server.entry.name, *key)
+    start = find_start(state, server.entry.name, task, run)
     if start is not None:
         start.stopped_instance = server.instance
 
