Preempt for the next plan too, so that one round of stops suffices

What callers saw: an urgent job within its account's guarantee did not start once its victims had stopped; the next plan preempted another gang for it although accelerators of its account's cells were free.

Cause: a plan ordered stops only for the places that it had chosen itself, while the next plan chooses places anew, and starts of the first plan can make a place under another borrowed gang the tightest or its server the cheapest by then.

Change: while guaranteed jobs wait, the policy plans the state expected after all starts and stops. It preempts now what that plan would preempt, drops a borrowed start that it would preempt, and does not lend what it uses. Related paths: borrowed starts beside a reclaim, and stops for the reservation of a large job, are part of the expected state; the first had the same fault.

--- a/src/cardamomdyke/placement/policy.py
+++ b/src/cardamomdyke/placement/policy.py
@@ -1,6 +1,6 @@
 """Placement policy that starts guaranteed work, then lends the free accelerators."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from cardamomdyke.model.jobs import JobSpecification
 from cardamomdyke.placement.allocation import (
@@ -13,6 +13,7 @@
 )
 from cardamomdyke.placement.cells import ServerMasks, make_pool_masks
 from cardamomdyke.placement.plan import (
+    PlacedGang,
     PlannedStart,
     PoolPlan,
     PoolState,
@@ -49,6 +50,13 @@
 
     Later jobs skip ``unplaceable_shapes``, which name the client account for
     guaranteed work. ``now`` is in steady-clock seconds.
+
+    Attributes
+    ----------
+    delayed : list of QueuedJob
+        Jobs within their account's guarantee that wait until victims have stopped.
+    unguaranteed : list of QueuedJob
+        Jobs that exceed their account's guarantee.
     """
 
     allocation: Allocation
@@ -56,6 +64,8 @@
     now: float
     starts: list[PlannedStart] = field(default_factory=list)
     preemptions: list[Preemption] = field(default_factory=list)
+    delayed: list[QueuedJob] = field(default_factory=list)
+    unguaranteed: list[QueuedJob] = field(default_factory=list)
     unplaceable_shapes: set[tuple[object, ...]] = field(default_factory=set)
 
 
@@ -67,17 +77,118 @@
 @plan_pool.register
 def plan_cells(policy: CellPolicy, state: PoolState, now: float) -> PoolPlan:
     """Plan guaranteed work by urgency and arrival, then borrowed work by arrival."""
+    draft = plan_guaranteed_jobs(policy, state, now)
+    if not draft.delayed:
+        plan_borrowed(draft)
+        return PoolPlan(tuple(draft.starts), tuple(draft.preemptions))
+    # Beside stopping gangs the first victims can be needless: the stops that are
+    # under way may free enough by themselves.
+    stops = any(gang.stopping for gang in state.placed)
+    preemptions = () if stops else tuple(draft.preemptions)
+    plan, following = settle_plan(
+        policy, state, now, PoolPlan(tuple(draft.starts), preemptions)
+    )
+    draft = make_settled_draft(policy, state, now, plan, following)
+    plan_borrowed(draft)
+    extended = PoolPlan(tuple(draft.starts), tuple(draft.preemptions))
+    if extended == plan:
+        return plan
+    return settle_plan(policy, state, now, extended)[0]
+
+
+def plan_guaranteed_jobs(policy: CellPolicy, state: PoolState, now: float) -> Draft:
+    """Plan all jobs within their account's guarantee, by urgency and arrival."""
     allocation = make_allocation(state, now, policy.restart_seconds)
     draft = Draft(allocation, policy, now)
-    queued = sorted(state.queued, key=lambda job: job.queued_at)
-    waiting = [
-        job
-        for job in sorted(queued, key=lambda job: not job.specification.urgent)
-        if not plan_guaranteed(draft, job)
+    for job in sorted(
+        state.queued, key=lambda job: (not job.specification.urgent, job.queued_at)
+    ):
+        plan_guaranteed(draft, job)
+    return draft
+
+
+def settle_plan(
+    policy: CellPolicy, state: PoolState, now: float, plan: PoolPlan
+) -> tuple[PoolPlan, Draft]:
+    """Change a plan until the next one starts all guaranteed jobs without a stop.
+
+    The next plan chooses places anew, and the starts of this one can make other
+    places the tightest or cheapest. So it is planned here on the state expected once
+    all victims have stopped. What it would preempt is preempted by this plan, or
+    does not start.
+
+    Parameters
+    ----------
+    policy : CellPolicy
+        Placement policy.
+    state : PoolState
+        Queue, placed gangs and capacity.
+    now : float
+        Steady-clock time, in seconds.
+    plan : PoolPlan
+        Starts and preemptions so far.
+
+    Returns
+    -------
+    plan : PoolPlan
+        Starts and preemptions to carry out now.
+    following : Draft
+        Guaranteed part of the next plan.
+    """
+    while True:
+        started = expect_state(state, plan, now)
+        running = tuple(gang for gang in started.placed if not gang.stopping)
+        following = plan_guaranteed_jobs(policy, replace(started, placed=running), now)
+        if not following.preemptions:
+            return plan, following
+        victims = {preemption.job_id for preemption in following.preemptions}
+        starting = {start.job_id for start in plan.starts}
+        further = [p for p in following.preemptions if p.job_id not in starting]
+        plan = PoolPlan(
+            tuple(start for start in plan.starts if start.job_id not in victims),
+            (*plan.preemptions, *further),
+        )
+
+
+def make_settled_draft(
+    policy: CellPolicy, state: PoolState, now: float, plan: PoolPlan, following: Draft
+) -> Draft:
+    """Return the draft of a plan, with the starts of the next plan reserved."""
+    started = expect_state(state, plan, now)
+    allocation = make_allocation(started, now, policy.restart_seconds)
+    for start in following.starts:
+        reserve_members(allocation, start.placements)
+    return Draft(
+        allocation,
+        policy,
+        now,
+        starts=list(plan.starts),
+        preemptions=list(plan.preemptions),
+        unguaranteed=following.unguaranteed,
+    )
+
+
+def expect_state(state: PoolState, plan: PoolPlan, now: float) -> PoolState:
+    """Return the state after a plan's starts, with its victims stopping."""
+    queued = {job.job_id: job for job in state.queued}
+    victims = {preemption.job_id for preemption in plan.preemptions}
+    placed = [
+        replace(gang, stopping=gang.stopping or gang.job_id in victims)
+        for gang in state.placed
     ]
-    waiting.sort(key=lambda job: job.queued_at)
-    plan_borrowed(draft, waiting)
-    return PoolPlan(tuple(draft.starts), tuple(draft.preemptions))
+    for start in plan.starts:
+        job = queued.pop(start.job_id)
+        placed.append(
+            PlacedGang(
+                job.job_id,
+                job.specification,
+                start.placements,
+                start.borrowed,
+                now,
+                queued_at=job.queued_at,
+            )
+        )
+    return replace(state, queued=tuple(queued.values()), placed=tuple(placed))
 
 
 def make_shape_key(specification: JobSpecification) -> tuple[object, ...]:
@@ -89,30 +200,25 @@
     )
 
 
-def plan_guaranteed(draft: Draft, job: QueuedJob) -> bool:
-    """Start a job within its account's guarantee, or reclaim cells for it.
-
-    Returns
-    -------
-    bool
-        False when the job exceeds the guarantee.
-    """
+def plan_guaranteed(draft: Draft, job: QueuedJob) -> None:
+    """Start a job within its account's guarantee, or reclaim cells for it."""
     specification = job.specification
     account = specification.client_account
     shape = (account, *make_shape_key(specification))
     if shape in draft.unplaceable_shapes:
-        return False
+        draft.unguaranteed.append(job)
+        return
     fit = find_guaranteed_fit(draft.allocation, specification)
     if fit is None:
         draft.unplaceable_shapes.add(shape)
-        return False
+        draft.unguaranteed.append(job)
+        return
     reserve_guaranteed_members(draft.allocation, account, fit.placements)
-    if not fit.victims:
-        start = PlannedStart(job.job_id, fit.placements, borrowed=False)
-        draft.starts.append(start)
-        return True
-    preempt_victims(draft, job, fit)
-    return True
+    if fit.victims:
+        draft.delayed.append(job)
+        preempt_victims(draft, job, fit)
+        return
+    draft.starts.append(PlannedStart(job.job_id, fit.placements, borrowed=False))
 
 
 def preempt_victims(draft: Draft, job: QueuedJob, fit: Fit) -> None:
@@ -122,15 +228,15 @@
             draft.preemptions.append(Preemption(victim, job.job_id))
 
 
-def plan_borrowed(draft: Draft, waiting: list[QueuedJob]) -> None:
-    """Start jobs on free accelerators; reserve for the oldest that does not fit.
+def plan_borrowed(draft: Draft) -> None:
+    """Start other jobs on free accelerators; reserve for the oldest that does not fit.
 
     Jobs too large for an empty pool get no reservation.
     """
     allocation = draft.allocation
     reserved = False
     avoided: frozenset[str] = frozenset()
-    for job in waiting:
+    for job in sorted(draft.unguaranteed, key=lambda job: job.queued_at):
         shape = make_shape_key(job.specification)
         if shape in draft.unplaceable_shapes:
             continue
