Assign unused cells without looking beyond the places needed

Cause: for each client account all groups of servers were tested, although only as many are needed as it has unused cells. Change: the test stops at the last one needed. The groups of one kind are disjoint, so the cells stay where they were.

--- a/src/cardamomdyke/placement/guarantees.py
+++ b/src/cardamomdyke/placement/guarantees.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import islice
 
 from cardamomdyke.model.tables import BackendServer, CellLevel, Guarantee, Pool
 from cardamomdyke.placement.cells import (
@@ -334,15 +335,16 @@
         return 0
     if kind.level is CellLevel.ACCELERATORS:
         return assign_unused_blocks(state, kind.accelerators, account, count)
-    free = [
+    free = (
         group
         for group in sort_groups(state, kind, account)
         if all(is_wholly_free(state, server) for server in group)
-    ]
-    for group in free[:count]:
+    )
+    for group in islice(free, count):
         masks = {server.name: make_full_mask(server.accelerators) for server in group}
         assign_masks(state, account, masks)
-    return max(count - len(free), 0)
+        count -= 1
+    return count
 
 
 def sort_groups(
