Measure the silence of a page read itself, not with libcurl's low-speed limit

Callers saw: a daemon abandoned a page of newest records 1.0 s after it began to read it, although the data arrived; it read it anew. Silence in the middle of a page ended only with the timeout of the call. Cause: libcurl's low-speed limit compares a mean rate that is 0 until its second record, 1 s after the first, and its time below the limit is rounded up by up to 1 ms, so a limit of 1 s ends a transfer that libcurl checks in that millisecond. Change: StallDetector counts the time without a byte in libcurl's progress callback; a pause of the process does not count. read_newest uses it with 1.5 s, which leaves a store 2 s for its first byte, as the old limit did. Calls to backend servers keep libcurl's limit of 3 s, for which the first cause does not hold.

--- a/src/cardamomdyke/adapters/http.py
+++ b/src/cardamomdyke/adapters/http.py
@@ -1,7 +1,10 @@
 """HTTP calls; a fault says whether the request may have reached the server."""
 
+import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
+from math import ceil
 
 import pycurl
 from expression import Error, Ok, Result
@@ -14,6 +17,9 @@
 # A connection is closed after this long without a byte in either direction; see the
 # design page on silent connections.
 PROGRESS_TIMEOUT_SECONDS = 3
+# libcurl reports progress each second while a low-speed limit is set; a longer time
+# between two reports is a pause of the process.
+PROGRESS_PAUSE_SECONDS = 1.25
 # Raised for a header or an address that no request can carry.
 UNSENDABLE_ERRORS = (HTTPInputError, ValueError, pycurl.error)
 
@@ -66,6 +72,58 @@
         return int(pycurl.PREREQFUNC_OK)
 
 
+@dataclass
+class StallDetector:
+    """Detects a transfer in which no byte has arrived or left for some time.
+
+    libcurl's low-speed limit does not measure this. It compares a mean rate over about
+    5 s that is calculated once a second, so it notices silence about 6 s late. Until
+    the first second ends, the rate is 0, and a limit of 1 s may be reached before.
+
+    Attributes
+    ----------
+    limit_seconds : float
+        Longest silence; 0 for no limit.
+    clock : callable
+        Steady clock, in seconds.
+    checked_at : float
+        Time of the last check.
+    silent_seconds : float
+        Time without a byte up to then.
+    transferred : int
+        Bytes received and sent up to then.
+    stalled : bool
+        True once the limit was exceeded.
+    """
+
+    limit_seconds: float
+    clock: Callable[[], float]
+    checked_at: float = 0.0
+    silent_seconds: float = 0.0
+    transferred: int = -1
+    stalled: bool = False
+
+    def check_progress(
+        self, total_received: int, received: int, total_sent: int, sent: int
+    ) -> int:
+        """Handle libcurl's progress callback; return 1 to end the transfer.
+
+        The silence is counted anew after a pause of the process, which says nothing
+        about the server.
+        """
+        now = self.clock()
+        elapsed = now - self.checked_at
+        was_silent = received + sent == self.transferred
+        self.checked_at = now
+        self.transferred = received + sent
+        if was_silent and elapsed <= PROGRESS_PAUSE_SECONDS:
+            self.silent_seconds += elapsed
+        else:
+            self.silent_seconds = 0.0
+        self.stalled = 0 < self.limit_seconds < self.silent_seconds
+        return int(self.stalled)
+
+
 @dataclass(frozen=True, slots=True)
 class HttpCall:
     """One HTTP request to an external service or another VM.
@@ -87,8 +145,12 @@
         needs: libcurl resends a request when a reused connection closes before the
         first reply byte.
     progress_timeout_seconds : int
-        Seconds without a byte in either direction after which the call fails; 0 for no
-        limit but ``timeout_seconds``.
+        libcurl's low-speed time at a limit of 1 byte/s; 0 for none. Use at least 2: a
+        limit of 1 s may end a transfer that makes progress. Silence after the first
+        bytes ends the call about 6 s late; see `StallDetector`.
+    stall_timeout_seconds : float
+        Time without a byte in either direction after which the call fails, checked
+        once a second; 0 for none. Takes the place of ``progress_timeout_seconds``.
     """
 
     method: str
@@ -98,6 +160,7 @@
     timeout_seconds: float = 3.0
     fresh_connection: bool = False
     progress_timeout_seconds: int = 0
+    stall_timeout_seconds: float = 0.0
 
 
 def make_http_client(source_host: str = "") -> CurlAsyncHTTPClient:
@@ -137,12 +200,22 @@
         Any complete HTTP reply, whatever its status.
     """
     tracker = SendTracker()
+    detector = StallDetector(
+        call.stall_timeout_seconds, asyncio.get_running_loop().time
+    )
 
     def prepare_curl(curl: pycurl.Curl) -> None:
         curl.setopt(pycurl.PREREQFUNCTION, tracker.record_connection)
         curl.setopt(pycurl.FRESH_CONNECT, 1 if call.fresh_connection else 0)
-        curl.setopt(pycurl.LOW_SPEED_LIMIT, 1 if call.progress_timeout_seconds else 0)
-        curl.setopt(pycurl.LOW_SPEED_TIME, call.progress_timeout_seconds)
+        low_speed_seconds = call.progress_timeout_seconds
+        if call.stall_timeout_seconds:
+            # A low-speed limit makes libcurl report progress while no byte arrives.
+            # It never takes effect itself: the whole call times out first.
+            low_speed_seconds = ceil(call.timeout_seconds) + 1
+            curl.setopt(pycurl.NOPROGRESS, 0)
+            curl.setopt(pycurl.XFERINFOFUNCTION, detector.check_progress)
+        curl.setopt(pycurl.LOW_SPEED_LIMIT, 1 if low_speed_seconds else 0)
+        curl.setopt(pycurl.LOW_SPEED_TIME, low_speed_seconds)
 
     try:
         request = HTTPRequest(
@@ -160,10 +233,12 @@
         # Without a reply, tornado raises even with ``raise_error=False``.
         return Ok(await client.fetch(request, raise_error=False))
     except (HTTPClientError, OSError, *UNSENDABLE_ERRORS) as error:
-        return Error(classify_failure(error, tracker))
+        return Error(classify_failure(error, tracker, detector))
 
 
-def classify_failure(error: Exception, tracker: SendTracker) -> TransportFault:
+def classify_failure(
+    error: Exception, tracker: SendTracker, detector: StallDetector
+) -> TransportFault:
     """Classify a failed call as not sent or uncertain.
 
     Parameters
@@ -172,6 +247,8 @@
         What the client library raised.
     tracker : SendTracker
         Whether the request may have been sent.
+    detector : StallDetector
+        Whether the call was ended for lack of progress.
 
     Returns
     -------
@@ -180,6 +257,9 @@
     """
     if not tracker.sent:
         return TransportFault(TransportFaultKind.NOT_SENT, str(error))
+    if detector.stalled:
+        detail = f"no byte arrived for more than {detector.limit_seconds:g} s"
+        return TransportFault(TransportFaultKind.UNCERTAIN, detail, silent=True)
     timed_out = (
         isinstance(error, CurlError) and error.errno == pycurl.E_OPERATION_TIMEDOUT
     )
--- a/src/cardamomdyke/platform/store.py
+++ b/src/cardamomdyke/platform/store.py
@@ -29,8 +29,9 @@
 # Topic of the daemons: jobs, their progress, and the daemons' announcements.
 WORK_TOPIC = "keyed.work"
 CALL_TIMEOUT_SECONDS = 0.8
-# A read of newest records is abandoned when no data arrives for this long.
-PAGE_PROGRESS_TIMEOUT_SECONDS = 1
+# A read of newest records is abandoned when no data arrives for this long. Checked once
+# a second, it leaves a slow store 2 s for the first byte.
+PAGE_STALL_TIMEOUT_SECONDS = 1.5
 # A page has up to 1 MB, which takes 1.7 s on a link of 5 Mbit/s.
 PAGE_TIMEOUT_SECONDS = 6.0
 # Largest answer to a read; 0.4 s on a link of 5 Mbit/s.
@@ -313,7 +314,7 @@
             query,
             None,
             PAGE_TIMEOUT_SECONDS,
-            PAGE_PROGRESS_TIMEOUT_SECONDS,
+            PAGE_STALL_TIMEOUT_SECONDS,
         )
         if result.is_error():
             return Error(result.error)
@@ -390,7 +391,7 @@
         query: dict[str, str | int],
         body: bytes | None,
         timeout_seconds: float = CALL_TIMEOUT_SECONDS,
-        progress_timeout_seconds: int = 0,
+        stall_timeout_seconds: float = 0.0,
     ) -> Result[HTTPResponse, StoreFault]:
         url = f"http://{self.address}{path}"
         if query:
@@ -401,7 +402,7 @@
             url,
             body=body,
             timeout_seconds=timeout_seconds,
-            progress_timeout_seconds=progress_timeout_seconds,
+            stall_timeout_seconds=stall_timeout_seconds,
         )
         result = await send_call(self.http, call)
         seconds = self.contact.clock() - began_at
@@ -414,7 +415,7 @@
         response = result.ok
         if response.code < 500 and response.code != 429:
             # A page's duration depends on its size.
-            counts_for_mean = "wait_ms" not in query and not progress_timeout_seconds
+            counts_for_mean = "wait_ms" not in query and not stall_timeout_seconds
             self.contact.record_answer(seconds, counts_for_mean)
         if response.code == 200:
             return Ok(response)
--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -7,6 +7,7 @@
 
 from cardamomdyke.adapters.http import (
     HttpCall,
+    StallDetector,
     TransportFaultKind,
     make_http_client,
     send_call,
@@ -170,3 +171,31 @@
         assert result.error.kind is TransportFaultKind.NOT_SENT
 
     asyncio.run(run())
+
+
+def list_checks(limit: float, checks: list[tuple[float, int]]) -> list[int]:
+    """Return the answers to checks at these times, with these bytes received."""
+    times = iter([at for at, _ in checks])
+    detector = StallDetector(limit, lambda: next(times))
+    return [detector.check_progress(0, received, 0, 0) for _, received in checks]
+
+
+@pytest.mark.parametrize(
+    ("checks", "answers"),
+    [
+        ([(5.0, 0), (6.0, 0), (7.0, 0)], [0, 0, 1]),
+        ([(5.0, 0), (6.0, 1), (7.0, 1), (7.9, 2), (8.9, 2)], [0, 0, 0, 0, 0]),
+        ([(5.0, 9), (5.6, 9), (6.1, 9)], [0, 0, 1]),
+        ([(5.0, 9), (5.9, 9), (65.0, 9), (65.9, 9), (66.1, 9)], [0, 0, 0, 0, 1]),
+    ],
+)
+def test_only_silence_that_lasts_ends_a_transfer(
+    checks: list[tuple[float, int]], answers: list[int]
+) -> None:
+    """Guards against a transfer ended by a pause of the process, or never ended."""
+    assert list_checks(1.0, checks) == answers
+
+
+def test_transfer_without_a_limit_is_never_ended() -> None:
+    """Guards against a limit of 0 that ends each transfer."""
+    assert list_checks(0.0, [(0.0, 0), (1.0, 0), (9.0, 0)]) == [0, 0, 0]
