Read the log to its end before a job is taken over

Callers saw: a finished job shown as queued, without its answers, by the VM that had become planner again. Cause: a planner took jobs from the last periodic read of the log, which is up to a second old, so it missed an end that the previous planner had recorded since. Change: before a planner takes a job from the log or from an inventory it reads the log to its end, and looks again whether the job has ended. If the log does not answer, the last read has to do, as before. Reads of the log exclude each other, since a slower one moved the offset back. Conclusion: an end that is in the log is found. An end that callers were told and that is not yet in the log is not; that is a change of its own.

--- a/src/cardamomdyke/daemon/job_log.py
+++ b/src/cardamomdyke/daemon/job_log.py
@@ -104,6 +104,8 @@
         True once the whole stream was read.
     unreadable : bool
         True when the last read failed.
+    read_lock : asyncio.Lock
+        Held during a read, so that a slower one does not move `next_offset` back.
     """
 
     node: Node
@@ -116,6 +118,7 @@
     first_offset: int = 0
     caught_up: bool = False
     unreadable: bool = False
+    read_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     def record(self, entry: JobEntry) -> asyncio.Event:
         """Queue an entry; the event is set once the log has it."""
@@ -170,6 +173,11 @@
 
     async def read_new_records(self) -> bool:
         """Read to the end of the stream; False when the log does not answer."""
+        async with self.read_lock:
+            return await self.read_pages()
+
+    async def read_pages(self) -> bool:
+        """Read all pages; the caller holds the lock."""
         while True:
             result = await self.node.log.read_records(JOBS_STREAM, self.next_offset)
             self.unreadable = result.is_error()
--- a/src/cardamomdyke/daemon/takeover.py
+++ b/src/cardamomdyke/daemon/takeover.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from msgspec.json import Decoder, encode
@@ -16,7 +17,7 @@
     Inventories,
     make_observed_member,
 )
-from cardamomdyke.daemon.job_log import JobLog
+from cardamomdyke.daemon.job_log import JobEntry, JobLog
 from cardamomdyke.daemon.node import Node
 from cardamomdyke.daemon.planner import Planner
 from cardamomdyke.daemon.pools import PlannedJob, check_uncertain
@@ -100,12 +101,12 @@
         if self.planner_since == float("inf"):
             self.planner_since = self.node.clock()
             self.node.timeline.record_change("planner.began", own)
-        self.add_recorded_jobs()
+        await self.add_recorded_jobs()
         self.record_expiring_jobs()
         self.refresh_claims()
         if self.check_sweep_due():
             await self.inventories.sweep()
-            self.add_unrecorded_jobs()
+            await self.add_unrecorded_jobs()
             await self.release_leftovers()
         elif (
             self.node.clock()
@@ -145,15 +146,31 @@
         superseded_at = self.planner.superseded_at.get(job_id, float("-inf"))
         return self.node.clock() >= superseded_at + RETAKE_WAIT_SECONDS
 
-    def add_recorded_jobs(self) -> None:
+    async def read_log_before_taking(self, job_ids: Iterable[str]) -> None:
+        """Read the log to its end if any of these jobs is about to be taken over.
+
+        The periodic read is up to a second old, and the previous planner may have
+        recorded ends since. Without an answer of the log, the last read has to do.
+        """
+        if any(self.check_retake(job_id) for job_id in job_ids):
+            await self.log.read_new_records()
+
+    def list_recorded_jobs(self) -> dict[str, JobEntry]:
+        """Return the accepted jobs of the own pools from the log, by id."""
+        pools = {pool.name for pool in self.inventories.list_pools()}
+        return {
+            job_id: entry
+            for job_id, entry in self.log.accepted.items()
+            if entry.specification is not None and entry.status.pool in pools
+        }
+
+    async def add_recorded_jobs(self) -> None:
         """Add accepted jobs from the log."""
         if not self.log.caught_up:
             return
-        pools = {pool.name for pool in self.inventories.list_pools()}
-        for job_id, entry in list(self.log.accepted.items()):
-            if entry.specification is None or entry.status.pool not in pools:
-                continue
-            if self.check_retake(job_id):
+        await self.read_log_before_taking(self.list_recorded_jobs())
+        for job_id, entry in self.list_recorded_jobs().items():
+            if entry.specification is not None and self.check_retake(job_id):
                 self.planner.add_job(
                     job_id,
                     entry.status.pool,
@@ -211,10 +228,12 @@
         period = TAKEOVER_SWEEP_PERIOD_SECONDS if is_new else SWEEP_PERIOD_SECONDS
         return now >= self.inventories.swept_at + period
 
-    def add_unrecorded_jobs(self) -> None:
+    async def add_unrecorded_jobs(self) -> None:
         """Add jobs that only inventories contain."""
         if not self.log.caught_up and not self.log.unreadable:
             return
+        reports = self.inventories.list_reports()
+        await self.read_log_before_taking(report.job_id for _, report in reports)
         servers = {
             server.name: pool.name
             for pool in self.inventories.list_pools()
