Keep the end that a previous planner has shown when a job is taken over

Cause: the VM that takes a job over answers for it before it knows how far the previous planner has come; that one shows an end before the log has it. Change: the planner marks its answer while it knows only that the job was accepted; the VM that was asked then asks the failure domain's other VMs and prefers an unmarked answer. An end in the log is shown also while the adopted gang is known as running. The mark is an additional JSON field that older builds ignore and omit.

--- a/src/cardamomdyke/daemon/jobs.py
+++ b/src/cardamomdyke/daemon/jobs.py
@@ -1,7 +1,7 @@
 """Routes callers' job calls to the responsible planners."""
 
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from uuid import uuid4
 
 from expression import Error, Ok, Result
@@ -14,6 +14,7 @@
 from cardamomdyke.daemon.node import Node
 from cardamomdyke.daemon.planner import Planner
 from cardamomdyke.gangs.homes import list_claim_homes
+from cardamomdyke.gangs.state import Phase
 from cardamomdyke.membership.view import Member, list_live
 from cardamomdyke.model.errors import Problem, ProblemKind, make_problem
 from cardamomdyke.model.jobs import JobSpecification, JobState, JobStatus
@@ -26,7 +27,24 @@
 )
 from cardamomdyke.protocol.gen.ttypes import JobAction, JobCall, JobReply
 
+
+@dataclass(frozen=True, slots=True)
+class PeerStatus(JobStatus):
+    """State of a job as VMs tell each other.
+
+    VMs of an older build ignore and omit the additional field.
+
+    Attributes
+    ----------
+    taken_over : bool
+        True while the planner does not know how far a previous one has come.
+    """
+
+    taken_over: bool = False
+
+
 _STATUS_DECODER = Decoder(JobStatus)
+_PEER_STATUS_DECODER = Decoder(PeerStatus)
 _SPECIFICATION_DECODER = Decoder(JobSpecification)
 
 
@@ -174,19 +192,25 @@
     ) -> Result[JobStatus, NotRun | NotKnown]:
         """Call the planner of a job's failure domain, then its other VMs.
 
-        The previous planner may still hold the job.
+        The previous planner may still hold the job. It may have shown a later state
+        than the planner that took it over, also an end that is not yet in the log.
         """
         domain = call.job_id.rpartition(".")[0]
         no_answer: Problem | None = None
+        taken_over: JobStatus | None = None
         for member in self.list_possible_planners(domain):
             reply = await self.call_vm(member, call)
             if reply.is_ok() and reply.ok.status:
-                return Ok(_STATUS_DECODER.decode(reply.ok.status))
+                if not _PEER_STATUS_DECODER.decode(reply.ok.status).taken_over:
+                    return Ok(_STATUS_DECODER.decode(reply.ok.status))
+                taken_over = taken_over or _STATUS_DECODER.decode(reply.ok.status)
             if reply.is_error():
                 no_answer = make_no_answer_problem(member.name, reply.error)
         ended = self.planner.log.ended.get(call.job_id)
         if ended is not None:
             return Ok(ended)
+        if taken_over is not None:
+            return Ok(taken_over)
         if no_answer is not None:
             return Error(NotKnown(no_answer))
         return Error(self.make_unknown_job_outcome(call.job_id))
@@ -230,9 +254,20 @@
         elif call.action == JobAction.CANCEL:
             status = self.planner.cancel_job(call.job_id)
         else:
-            status = self.planner.show_job(call.job_id)
+            status = self.show_own_job(call.job_id)
         return JobReply(status=encode(status) if status else b"")
 
+    def show_own_job(self, job_id: str) -> JobStatus | None:
+        """Return the state of a job here, marked while a previous one may be later."""
+        status = self.planner.show_job(job_id)
+        job = self.planner.jobs.get(job_id)
+        if status is None or job is None:
+            return status
+        if job.gang.phase is not Phase.QUEUED or not job.gang.unknown_history:
+            return status
+        values = {item.name: getattr(status, item.name) for item in fields(status)}
+        return PeerStatus(**values, taken_over=True)
+
     async def queue_submission(self, call: JobCall) -> JobStatus:
         """Queue a job; the state ``NOT_RUN`` means refused."""
         specification = _SPECIFICATION_DECODER.decode(call.specification)
--- a/src/cardamomdyke/daemon/planner.py
+++ b/src/cardamomdyke/daemon/planner.py
@@ -185,11 +185,15 @@
         )
 
     def show_job(self, job_id: str) -> JobStatus | None:
-        """Return the state of a job, or None if it is unknown here."""
+        """Return the state of a job, or None if it is unknown here.
+
+        An end in the log is final, also while an adopted gang still runs here.
+        """
         job = self.jobs.get(job_id)
-        if job is not None:
-            return self.make_status(job)
-        return self.log.ended.get(job_id)
+        ended = self.log.ended.get(job_id)
+        if job is None or (ended is not None and job.status.state not in FINAL_STATES):
+            return ended
+        return self.make_status(job)
 
     def make_status(self, job: PlannedJob) -> JobStatus:
         """Add to a job's status whether the log has it."""
--- a/tests/daemon/test_planner.py
+++ b/tests/daemon/test_planner.py
@@ -9,11 +9,17 @@
 
 from cardamomdyke.daemon import planner as planner_module
 from cardamomdyke.daemon.gang_calls import GangCaller
+from cardamomdyke.daemon.job_log import EntryKind, JobEntry
 from cardamomdyke.daemon.planner import Planner
 from cardamomdyke.daemon.pools import PlannedJob
 from cardamomdyke.gangs.state import AnswerKind, CallKind, CallMember, MemberAnswered
 from cardamomdyke.model.errors import ProblemKind
-from cardamomdyke.model.jobs import JobSpecification, JobState, MemberPlacement
+from cardamomdyke.model.jobs import (
+    JobSpecification,
+    JobState,
+    JobStatus,
+    MemberPlacement,
+)
 from cardamomdyke.placement.plan import (
     PlannedStart,
     PoolPlan,
@@ -179,3 +185,17 @@
         assert not planner.log.pending
 
     asyncio.run(run())
+
+
+def test_recorded_end_is_shown_for_a_gang_that_still_runs_here() -> None:
+    """Guards against "running" for an adopted job whose end another VM recorded."""
+
+    async def run() -> None:
+        planner, _ = make_planner()
+        job = add_job(planner, "gent.1")
+        await step_until(planner, lambda: job.status.state is JobState.RUNNING)
+        ended = JobStatus("gent.1", JobState.FINISHED, answers=("42",))
+        planner.log.fold_entry(JobEntry(EntryKind.ENDED, ended), 1)
+        assert planner.show_job("gent.1") == ended
+
+    asyncio.run(run())
