Count the lease of a renewal from its sending

A member that outlives the count of its planner also holds accelerators that the planner takes for free.

Cause: a backend server counted a renewal's lease from its arrival, so one that the network duplicated 5 s later added 5 s to what its sender counted on.

Change: a renewal carries a start ticket and the ticket's age when it was sent. The server takes the time of sending by its own clock from both, counts the lease from there, never shortens a lease, and refuses a renewal whose lease has ended or whose ticket is missing or of another boot. The stand-in refuses the whole call then; skipping the members would report them as gone. The simulation passes the age on as the daemon does; no check changes.

Conclusion: the bound of 13 s no longer depends on the time that a renewal spends on its way. A lease can be shorter than counted by the transit of the answer that brought the ticket.

--- a/src/cardamomdyke/adapters/backend.py
+++ b/src/cardamomdyke/adapters/backend.py
@@ -179,9 +179,13 @@
     holder : str
         Fencing token, second part.
     lease_seconds : float
-        New remaining time of the lease.
+        Length of the new lease. A renewal's lease counts from its sending at the
+        latest, however late the server carries it out.
     ticket : str
-        Start ticket; required only for a start.
+        Start ticket; required for a start and a renewal.
+    ticket_age_seconds : float
+        Time from the ticket's receipt to the call's sending. With the time in the
+        ticket it gives the time of the sending on the server's clock.
     """
 
     job_id: str
@@ -190,6 +194,7 @@
     holder: str
     lease_seconds: float = 0.0
     ticket: str = ""
+    ticket_age_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cardamomdyke/daemon/gang_calls.py
+++ b/src/cardamomdyke/daemon/gang_calls.py
@@ -151,7 +151,7 @@
         sent_at = self.node.clock()
         if sent_at > calls[0].not_after:
             return [MemberAnswered(c, AnswerKind.STALE, sent_at) for c in calls]
-        leases = tuple(self.make_lease(gang, server, call) for call in calls)
+        leases = tuple(self.make_lease(gang, server, call, sent_at) for call in calls)
         backend = self.node.backend
         send = {
             CallKind.RENEW: backend.renew_leases,
@@ -188,7 +188,9 @@
                 [MemberAnswered(call, AnswerKind.STALE, sent_at) for call in group]
                 for _, group in gangs
             ]
-        leases = tuple(self.make_lease(gang, server, call) for gang, call in calls)
+        leases = tuple(
+            self.make_lease(gang, server, call, sent_at) for gang, call in calls
+        )
         result = self.remember_task_ticket(
             server, await self.node.backend.renew_leases(server.address, leases)
         )
@@ -213,7 +215,7 @@
         if sent_at > call.not_after:
             return MemberAnswered(call, AnswerKind.STALE, sent_at)
         if call.kind is CallKind.START:
-            lease = self.make_lease(gang, server, call)
+            lease = self.make_lease(gang, server, call, sent_at)
             started = await self.node.backend.start_member(server.address, lease)
             return make_member_answer(
                 gang, call, self.remember_task_ticket(server, started), sent_at
@@ -237,9 +239,13 @@
         )
 
     def make_lease(
-        self, gang: Gang, server: BackendServer, call: CallMember
+        self, gang: Gang, server: BackendServer, call: CallMember, sent_at: float
     ) -> LeaseCall:
-        """Make a lease call with this planner's fencing token."""
+        """Make a lease call with this planner's fencing token.
+
+        The ticket's age counts to ``sent_at``, from which the planner counts the
+        lease: a process that freezes later must not send a longer one.
+        """
         return LeaseCall(
             job_id=gang.job_id,
             member=call.member,
@@ -247,6 +253,7 @@
             holder=gang.holder,
             lease_seconds=LEASE_SECONDS.get(call.kind, 0.0),
             ticket=self.node.find_ticket(server.name),
+            ticket_age_seconds=self.node.find_ticket_age(server.name, sent_at),
         )
 
     def remember_task_ticket(
--- a/src/cardamomdyke/daemon/node.py
+++ b/src/cardamomdyke/daemon/node.py
@@ -137,6 +137,11 @@
         ticket = self.tickets.get(server)
         return ticket.text if ticket else ""
 
+    def find_ticket_age(self, server: str, now: float) -> float:
+        """Return the seconds since the newest start ticket came, or 0 without one."""
+        ticket = self.tickets.get(server)
+        return now - ticket.received_at if ticket else 0.0
+
     def detect_pause(self) -> None:
         """Drop tickets, evidence and contacts after a pause of the event loop."""
         now = self.clock()
--- a/src/cardamomdyke/gangs/calls.py
+++ b/src/cardamomdyke/gangs/calls.py
@@ -173,8 +173,8 @@
     member = replace(member, pending=True)
     if kind not in LEASE_SECONDS:
         return member
-    # A call can take effect until its ticket expires; a renewal that arrives later
-    # finds the lease expired or the member released.
+    # A reservation or start can take effect until its ticket expires. The lease of a
+    # renewal counts from the sending, however late the server carries it out.
     latest = (
         deadline + TICKET_VALID_SECONDS + LEASE_SECONDS[kind] + CLOCK_MARGIN_SECONDS
     )
--- a/src/cardamomdyke/gangs/machine.py
+++ b/src/cardamomdyke/gangs/machine.py
@@ -15,6 +15,7 @@
   the last renewal that the lost member answered. If the planner or its releases are
   lost too, the others end with their own leases, last extended at most one renewal
   period (3 s) after the member's last answer: 13 s at most in this double failure.
+  A renewal that is carried out late adds nothing, as its lease counts from its sending.
 
 Work counts once its member was extended. A gang whose extension may have been sent
 (``was_extended``) never starts again unless its job is repeatable or all members
--- a/src/cardamomdyke_standins/backend.py
+++ b/src/cardamomdyke_standins/backend.py
@@ -206,7 +206,8 @@
             try:
                 tasks.append(actions[action](call, now))
             except RefusalError as refusal:
-                if refusal.reason == "fenced":
+                # The calls share one ticket, so a stale one had no effect on any.
+                if refusal.reason in ("fenced", "stale_ticket"):
                     self.refuse(refusal)
                     return
         self.finish_tasks(tasks)
--- a/src/cardamomdyke_standins/backend_state.py
+++ b/src/cardamomdyke_standins/backend_state.py
@@ -100,11 +100,27 @@
 
     def check_ticket(self, ticket: str, now: float) -> None:
         """Refuse a ticket that expired or is of another boot."""
+        if now - self.read_ticket(ticket) > TICKET_VALID_SECONDS:
+            raise RefusalError("stale_ticket", "ticket is too old")
+
+    def read_ticket(self, ticket: str) -> float:
+        """Return the time of issue of a ticket; refuse one of another boot."""
         boot_id, _, issued = ticket.rpartition(":")
         if boot_id != self.boot_id:
             raise RefusalError("stale_ticket", "ticket of another boot")
-        if now - int(issued) / 1000 > TICKET_VALID_SECONDS:
-            raise RefusalError("stale_ticket", "ticket is too old")
+        return int(issued) / 1000
+
+    def find_renewal_end(self, call: dict[str, Any], now: float) -> float:
+        """Return the end of a renewed lease, which counts from the call's sending.
+
+        A late or duplicated renewal must not extend a lease beyond what its sender
+        counted on.
+        """
+        sent_at = self.read_ticket(call["ticket"]) + call["ticket_age_seconds"]
+        lease_until: float = min(sent_at, now) + call["lease_seconds"]
+        if lease_until <= now:
+            raise RefusalError("stale_ticket", "the lease ended before the renewal")
+        return lease_until
 
     def start_request(
         self, request_id: str, ticket: str, now: float, marker: str = ""
@@ -288,10 +304,11 @@
     def renew_lease(self, call: dict[str, Any], now: float) -> Task:
         """Extend a lease; a started member becomes confirmed."""
         self.expire_leases(now)
+        lease_until = self.find_renewal_end(call, now)
         task = self.find_task(call)
         task.epoch, task.holder = call["epoch"], call["holder"]
         if task.state in ("reserved", "running"):
-            task.lease_until = now + call["lease_seconds"]
+            task.lease_until = max(task.lease_until, lease_until)
         if task.state in ("running", "finished"):
             task.confirmed = True
         return task
--- a/tests/gangs/model.py
+++ b/tests/gangs/model.py
@@ -79,6 +79,7 @@
     server: str = "home"
     accelerators: tuple[int, ...] = ()
     ticket: str = ""
+    ticket_age_seconds: float = 0.0
 
 
 class World:
@@ -91,7 +92,8 @@
         self.run_seconds = run_seconds
         self.backends = {n: BackendState(n, f"boot-{n}", 2, 8) for n in "abc"}
         self.home = BackendState("home", "boot-home", 0, 0)
-        self.tickets: dict[tuple[str, str], str] = {}
+        # Ticket and time of its receipt, by planner and server.
+        self.tickets: dict[tuple[str, str], tuple[str, float]] = {}
         self.planners: list[Planner] = []
         self.runs: dict[int, Run] = {}
         self.observed_tasks: list[Task] = []
@@ -250,9 +252,17 @@
             return Message(planner, action, sent_at)
         assert planner.gang is not None
         placement = planner.gang.placements[action.member]
-        ticket = self.tickets.get((planner.name, placement.server), "")
+        ticket, received_at = self.tickets.get(
+            (planner.name, placement.server), ("", sent_at)
+        )
         return Message(
-            planner, action, sent_at, placement.server, placement.accelerators, ticket
+            planner,
+            action,
+            sent_at,
+            placement.server,
+            placement.accelerators,
+            ticket,
+            sent_at - received_at,
         )
 
     def report_loss(self, message: Message) -> None:
@@ -273,7 +283,8 @@
             return
         if message.server in self.backends:
             ticket = self.backends[message.server].make_ticket(self.now)
-            self.tickets[planner.name, message.server] = ticket
+            received_at = self.now + TRANSIT_SECONDS
+            self.tickets[planner.name, message.server] = ticket, received_at
         self.schedule(self.now + TRANSIT_SECONDS, partial(self.deliver, planner, event))
 
     def deliver(self, planner: Planner, event: Event) -> None:
@@ -320,6 +331,7 @@
             "accelerators": message.accelerators,
             "lease_seconds": LEASE_SECONDS.get(call.kind, 0.0),
             "ticket": message.ticket,
+            "ticket_age_seconds": message.ticket_age_seconds,
         }
         methods = {
             CallKind.RESERVE: partial(state.reserve_member, body, self.run_seconds),
