Count repeated renewals from the last sign of each member

Cause: a renewal that was repeated within its round counted from the repetition, and a round that began late counted in full, though another member had not been heard of for longer than a renewal period.

Change: the planner names the time from which a renewed lease counts: its sending, but at most one renewal period (3 s) after the last answered renewal of each running member was sent. It gives members up by the lease that it granted.

After a long silence of one member the leases are shorter until the next round.

--- a/src/cardamomdyke/adapters/backend.py
+++ b/src/cardamomdyke/adapters/backend.py
@@ -179,13 +179,14 @@
     holder : str
         Fencing token, second part.
     lease_seconds : float
-        Length of the new lease. A renewal's lease counts from its sending at the
-        latest, however late the server carries it out.
+        Length of the new lease. A renewal's lease counts from its sending or before,
+        however late the server carries it out.
     ticket : str
         Start ticket; required for a start and a renewal.
     ticket_age_seconds : float
-        Time from the ticket's receipt to the call's sending. With the time in the
-        ticket it gives the time of the sending on the server's clock.
+        Time from the ticket's receipt to the start of a renewed lease. With the time
+        in the ticket it gives that start on the server's clock. Negative when the
+        ticket came later.
     """
 
     job_id: str
--- a/src/cardamomdyke/daemon/gang_calls.py
+++ b/src/cardamomdyke/daemon/gang_calls.py
@@ -243,9 +243,10 @@
     ) -> LeaseCall:
         """Make a lease call with this planner's fencing token.
 
-        The ticket's age counts to ``sent_at``, from which the planner counts the
-        lease: a process that freezes later must not send a longer one.
+        The ticket's age counts to the time from which the planner counts the lease:
+        a process that freezes later must not send a longer one.
         """
+        lease_from = min(sent_at, call.lease_from)
         return LeaseCall(
             job_id=gang.job_id,
             member=call.member,
@@ -253,7 +254,7 @@
             holder=gang.holder,
             lease_seconds=LEASE_SECONDS.get(call.kind, 0.0),
             ticket=self.node.find_ticket(server.name),
-            ticket_age_seconds=self.node.find_ticket_age(server.name, sent_at),
+            ticket_age_seconds=self.node.find_ticket_age(server.name, lease_from),
         )
 
     def remember_task_ticket(
--- a/src/cardamomdyke/gangs/calls.py
+++ b/src/cardamomdyke/gangs/calls.py
@@ -20,6 +20,7 @@
     CLOCK_MARGIN_SECONDS,
     LOG_RECORD_WAIT_SECONDS,
     MAX_SEND_DELAY_SECONDS,
+    RENEWAL_PERIOD_SECONDS,
     RESERVATION_LEASE_SECONDS,
     RUN_LEASE_SECONDS,
     START_LEASE_SECONDS,
@@ -69,7 +70,10 @@
         return gang, ()
     deadline = find_send_deadline(gang, kind, now)
     due = [i for i, m in enumerate(gang.members) if check_due(gang, m, now)]
-    calls = tuple(CallMember(kind, index, gang.epoch, deadline) for index in due)
+    lease_from = find_lease_start(gang, now)
+    calls = tuple(
+        CallMember(kind, index, gang.epoch, deadline, lease_from) for index in due
+    )
     members = list(gang.members)
     for index in due:
         members[index] = record_call(members[index], kind, deadline, now)
@@ -147,6 +151,21 @@
     return deadline
 
 
+def find_lease_start(gang: Gang, now: float) -> float:
+    """Return the time from which the leases of renewals sent now count.
+
+    They count from at most one renewal period after the last sign of each running
+    member, however often a renewal is repeated: if a member has ended and the planner
+    is lost, the others end one run lease and renewal period later.
+    """
+    answered = (
+        member.renewed_at
+        for member in gang.members
+        if member.state is not AnswerKind.FINISHED and member.renewed_at > float("-inf")
+    )
+    return min(now, min(answered, default=now) + RENEWAL_PERIOD_SECONDS)
+
+
 def check_due(gang: Gang, member: Member, now: float) -> bool:
     """Return whether a member needs the call of the gang's phase now."""
     if member.pending or now < member.retry_at:
--- a/src/cardamomdyke/gangs/machine.py
+++ b/src/cardamomdyke/gangs/machine.py
@@ -13,9 +13,9 @@
 - After the extension, for at most one run lease (10 s) after a member ends early:
   the planner releases the others as soon as it learns of it, at the latest 10 s after
   the last renewal that the lost member answered. If the planner or its releases are
-  lost too, the others end with their own leases, last extended at most one renewal
+  lost too, the others end with their own leases, which count from at most one renewal
   period (3 s) after the member's last answer: 13 s at most in this double failure.
-  A renewal that is carried out late adds nothing, as its lease counts from its sending.
+  A renewal that is repeated or carried out late adds nothing to that.
 
 Work counts once its member was extended. A gang whose extension may have been sent
 (``was_extended``) never starts again unless its job is repeatable or all members
--- a/src/cardamomdyke/gangs/members.py
+++ b/src/cardamomdyke/gangs/members.py
@@ -52,7 +52,8 @@
         answer=event.answer or member.answer,
     )
     if call is CallKind.RENEW and event.kind in RUNNING_STATES:
-        return replace(member, renewed_at=event.sent_at)
+        lease_from = min(event.sent_at, event.call.lease_from)
+        return replace(member, renewed_at=event.sent_at, lease_from=lease_from)
     if call is CallKind.CHECKPOINT and event.kind is AnswerKind.RUNNING:
         return replace(member, checkpointed=True)
     return member
--- a/src/cardamomdyke/gangs/phases.py
+++ b/src/cardamomdyke/gangs/phases.py
@@ -176,7 +176,7 @@
     if not running:
         return stop_members(gang, Ending(JobState.FINISHED), now)
     limit = RUN_LEASE_SECONDS - STOP_MARGIN_SECONDS
-    if any(now >= member.renewed_at + limit for member in running):
+    if any(now >= member.lease_from + limit for member in running):
         return abandon_attempt(gang, "a member's lease ends without an answer", now)
     answered = all(member.renewed_at >= gang.renewal_round_at for member in running)
     # Rounds of all gangs begin together, so that their renewals on one backend server
--- a/src/cardamomdyke/gangs/state.py
+++ b/src/cardamomdyke/gangs/state.py
@@ -89,6 +89,8 @@
         Time after which it certainly holds no accelerators.
     renewed_at : float
         Sending time of the newest renewal that was answered.
+    lease_from : float
+        Time from which the lease of that renewal counts.
     retry_at : float
         Earliest time to repeat the call.
     checkpointed : bool
@@ -105,6 +107,7 @@
     first_start_at: float = float("inf")
     may_hold_until: float = float("-inf")
     renewed_at: float = float("-inf")
+    lease_from: float = float("-inf")
     retry_at: float = float("-inf")
     checkpointed: bool = False
     checkpoint_age_seconds: float = 0.0
@@ -403,12 +406,15 @@
         First part of the fencing token.
     not_after : float
         Latest sending time, by the planner's steady clock.
+    lease_from : float
+        Time from which a renewed lease counts, at the latest its sending.
     """
 
     kind: CallKind
     member: int
     epoch: int
     not_after: float
+    lease_from: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cardamomdyke_standins/backend_state.py
+++ b/src/cardamomdyke_standins/backend_state.py
@@ -111,13 +111,13 @@
         return int(issued) / 1000
 
     def find_renewal_end(self, call: dict[str, Any], now: float) -> float:
-        """Return the end of a renewed lease, which counts from the call's sending.
+        """Return the end of a renewed lease, which counts from a time of its sender.
 
         A late or duplicated renewal must not extend a lease beyond what its sender
         counted on.
         """
-        sent_at = self.read_ticket(call["ticket"]) + call["ticket_age_seconds"]
-        lease_until: float = min(sent_at, now) + call["lease_seconds"]
+        lease_from = self.read_ticket(call["ticket"]) + call["ticket_age_seconds"]
+        lease_until: float = min(lease_from, now) + call["lease_seconds"]
         if lease_until <= now:
             raise RefusalError("stale_ticket", "the lease ended before the renewal")
         return lease_until
--- a/tests/daemon/test_renewals.py
+++ b/tests/daemon/test_renewals.py
@@ -121,3 +121,22 @@
             assert counted_until - transit <= task.lease_until <= counted_until
 
     run_with_server(body)
+
+
+def test_lease_counts_from_the_time_that_its_call_names() -> None:
+    """Guards against a repeated renewal that counts from its repetition."""
+
+    async def body(
+        caller: GangCaller, server: BackendServer, state: BackendState
+    ) -> None:
+        gang = await start_gang(caller, server, state)
+        lease_from = time.monotonic() - 4.0
+        calls = [
+            replace(call, lease_from=lease_from) for call in make_calls(CallKind.RENEW)
+        ]
+        await caller.call_server(gang, SPECIFICATION, server, calls)
+        for task in state.tasks.values():
+            assert task.confirmed
+            assert task.lease_until <= lease_from + RUN_LEASE_SECONDS
+
+    run_with_server(body)
--- a/tests/gangs/model.py
+++ b/tests/gangs/model.py
@@ -262,7 +262,7 @@
             placement.server,
             placement.accelerators,
             ticket,
-            sent_at - received_at,
+            min(sent_at, action.lease_from) - received_at,
         )
 
     def report_loss(self, message: Message) -> None:
--- a/tests/gangs/test_late_renewals.py
+++ b/tests/gangs/test_late_renewals.py
@@ -4,13 +4,17 @@
 
 import pytest
 
+from cardamomdyke.gangs.state import Phase
 from cardamomdyke.gangs.timing import (
     MAX_SEND_DELAY_SECONDS,
+    RENEWAL_PERIOD_SECONDS,
     RUN_LEASE_SECONDS,
     START_LEASE_SECONDS,
 )
 from cardamomdyke_standins.backend_state import BackendState, RefusalError
-from tests.gangs.model import Fault, MessageFault
+from cardamomdyke_standins.gang_history import list_partial_seconds
+from tests.gangs.model import Fault, MessageFault, Planner, World
+from tests.gangs.test_machine import begin, run_to
 from tests.gangs.test_machine_histories import GangHistories
 
 PLAIN = MessageFault(Fault.NONE)
@@ -117,3 +121,65 @@
     call = renewal | {"lease_seconds": START_LEASE_SECONDS}
     task = state.start_member(call, STARTED_AT + delay - MAX_SEND_DELAY_SECONDS)
     assert task.lease_until == STARTED_AT + START_LEASE_SECONDS
+
+
+def run_until_answered(world: World, planner: Planner) -> None:
+    """Run until both members have answered the renewals of a second round."""
+    gang = run_to(world, planner, Phase.RUNNING)
+    first_round = gang.renewal_round_at
+    while gang.renewal_round_at == first_round or any(
+        member.renewed_at < gang.renewal_round_at for member in gang.members
+    ):
+        world.run_until(world.now + 0.001)
+        assert planner.gang is not None
+        gang = planner.gang
+
+
+def end_first_member(world: World) -> None:
+    """End member 0 without a word to its planner."""
+    for backend in world.backends.values():
+        for task in backend.tasks.values():
+            if task.member == 0:
+                backend._end_task(task, "stopped", world.now)
+
+
+def measure_longest_part(world: World) -> float:
+    """Return the longest time that a member of two ran without the other."""
+    world.run_until(world.now + 30.0)
+    return max(list_partial_seconds(list(world.runs.values()), 2, world.now))
+
+
+def test_repeated_renewal_does_not_outlast_a_lost_member() -> None:
+    """Guards against a lease that counts from the repetition of a lost renewal."""
+    world, planner = begin(repeatable=True)
+    run_until_answered(world, planner)
+    end_first_member(world)
+    # Both renewals are lost; the planner dies as it repeats them.
+    lost = MessageFault(Fault.LOSE_REQUEST)
+    world.faults.extend([lost, lost, PLAIN, MessageFault(Fault.DIE)])
+    longest = measure_longest_part(world)
+    assert not planner.alive
+    assert longest <= RUN_LEASE_SECONDS + RENEWAL_PERIOD_SECONDS
+
+
+def test_member_that_answers_late_does_not_outlast_a_lost_one() -> None:
+    """Guards against a round that follows a long one with a full lease."""
+    world, planner = begin(repeatable=True)
+    run_until_answered(world, planner)
+    # Member 1 answers its next renewal at the fifth try, and member 0 the first.
+    lost = MessageFault(Fault.LOSE_REQUEST)
+    world.faults.extend([PLAIN, *[lost] * 4])
+    gang = planner.gang
+    assert gang is not None
+    last_round = gang.renewal_round_at
+    while gang.members[0].renewed_at <= last_round:
+        world.run_until(world.now + 0.001)
+        assert planner.gang is not None
+        gang = planner.gang
+    end_first_member(world)
+    while world.faults:
+        world.run_until(world.now + 0.001)
+    world.faults.extend([PLAIN, lost, MessageFault(Fault.DIE)])
+    longest = measure_longest_part(world)
+    assert not planner.alive
+    assert longest <= RUN_LEASE_SECONDS + RENEWAL_PERIOD_SECONDS
