Give up a gang's job after three crashes at its starts

Cause: a member that its restarted server does not know was taken for gone, and the planner neither counted that nor kept the job apart from others.

Change: a server that no longer knows a member and has another boot than when it had the member has crashed. A crash before a renewal that was sent 1 s after the start was answered counts; the third in a row ends the job as failed, as the platform's planner does with proven crashes. A job that met one starts beside no other start until it has outlived its own, so that a crash is not blamed on a sound job. Silence counts nothing.

Conclusion: such a job is started three times at most under one planner. Crashes after the start was outlived, or of servers that answer only after the leases, are not counted, and a planner that takes over counts anew.

--- a/src/cardamomdyke/daemon/gang_calls.py
+++ b/src/cardamomdyke/daemon/gang_calls.py
@@ -20,6 +20,7 @@
     TaskReport,
 )
 from cardamomdyke.daemon.node import Node
+from cardamomdyke.dispatch.claims import parse_boot_id
 from cardamomdyke.gangs.calls import LEASE_SECONDS
 from cardamomdyke.gangs.homes import list_claim_homes
 from cardamomdyke.gangs.state import (
@@ -292,16 +293,19 @@
     """Derive one member's answer from a backend server's reply."""
     if result.is_error():
         kind = ANSWER_KIND_BY_FAULT.get(result.error.kind, AnswerKind.REFUSED)
-        return MemberAnswered(call, kind, sent_at)
+        boot_id = parse_boot_id(result.error.ticket)
+        return MemberAnswered(call, kind, sent_at, boot_id=boot_id)
     report = find_report(result.ok, gang, call)
+    boot_id = parse_boot_id(result.ok.ticket)
     if report is None or call.kind is CallKind.RELEASE:
-        return MemberAnswered(call, AnswerKind.GONE, sent_at)
+        return MemberAnswered(call, AnswerKind.GONE, sent_at, boot_id=boot_id)
     return MemberAnswered(
         call,
         AnswerKind(report.state.value),
         sent_at,
         report.checkpoint_age_seconds,
         report.answer,
+        boot_id,
     )
 
 
--- a/src/cardamomdyke/daemon/planner.py
+++ b/src/cardamomdyke/daemon/planner.py
@@ -17,10 +17,12 @@
     LastPlan,
     PlannedJob,
     check_uncertain,
+    list_closed_servers,
     make_foreign_gang,
     make_plan_key,
     make_policy,
     make_pool_state,
+    split_suspects,
 )
 from cardamomdyke.gangs.machine import check_end_proven, is_placeable, step
 from cardamomdyke.gangs.state import (
@@ -95,8 +97,8 @@
         Calls in progress.
     renewal_batches : dict or None
         Renewals of the current step, by backend server; None between steps.
-    last_plans : dict of str to LastPlan
-        Last plan of each pool.
+    last_plans : dict of (str, int) to LastPlan
+        Last plan of each pool and group of its queued jobs.
     """
 
     node: Node
@@ -108,7 +110,7 @@
     superseded_at: dict[str, float] = field(default_factory=dict)
     background_tasks: set[asyncio.Task[None]] = field(default_factory=set)
     renewal_batches: dict[str, list[tuple[PlannedJob, list[CallMember]]]] | None = None
-    last_plans: dict[str, LastPlan] = field(default_factory=dict)
+    last_plans: dict[tuple[str, int], LastPlan] = field(default_factory=dict)
 
     async def submit_job(
         self, job_id: str, pool: str, specification: JobSpecification
@@ -359,33 +361,40 @@
             queued = [j for j in jobs if is_placeable(j.gang, now)]
             if not queued or self.coordinator.check_start(pool) is not None:
                 continue
-            state = make_pool_state(
-                pool,
-                jobs,
-                queued,
-                self.list_foreign(pool),
-                self.inventories.list_unusable(pool),
-            )
-            if not self.check_plan_due(state, now):
-                continue
-            plan = plan_pool(make_policy(), state, now)
-            for start in plan.starts:
-                self.feed(
-                    self.jobs[start.job_id], Placed(start.placements, start.borrowed)
-                )
-            for preemption in plan.preemptions:
-                victim = self.jobs.get(preemption.job_id)
-                if victim is not None:
-                    self.feed(victim, PreemptionRequested())
-
-    def check_plan_due(self, state: PoolState, now: float) -> bool:
+            for number, group in enumerate(split_suspects(queued)):
+                self.plan_group(pool, jobs, group, number, now)
+
+    def plan_group(
+        self,
+        pool: Pool,
+        jobs: list[PlannedJob],
+        queued: list[PlannedJob],
+        number: int,
+        now: float,
+    ) -> None:
+        """Run the policy for one group of queued jobs and apply its plan."""
+        unusable = self.inventories.list_unusable(pool)
+        closed = list_closed_servers(jobs, queued)
+        foreign = self.list_foreign(pool)
+        state = make_pool_state(pool, jobs, queued, foreign, unusable | closed)
+        if not self.check_plan_due(state, number, now):
+            return
+        plan = plan_pool(make_policy(), state, now)
+        for start in plan.starts:
+            self.feed(self.jobs[start.job_id], Placed(start.placements, start.borrowed))
+        for preemption in plan.preemptions:
+            victim = self.jobs.get(preemption.job_id)
+            if victim is not None:
+                self.feed(victim, PreemptionRequested())
+
+    def check_plan_due(self, state: PoolState, number: int, now: float) -> bool:
         """Return True and store the key if the pool changed or its plan is too old."""
         key = make_plan_key(state)
-        last = self.last_plans.get(state.pool.name)
+        last = self.last_plans.get((state.pool.name, number))
         if last is not None and last.key == key:
             if now - last.planned_at < REPLAN_PERIOD_SECONDS:
                 return False
-        self.last_plans[state.pool.name] = LastPlan(key, now)
+        self.last_plans[state.pool.name, number] = LastPlan(key, now)
         return True
 
     def list_foreign(self, pool: Pool) -> list[PlacedGang]:
--- a/src/cardamomdyke/daemon/pools.py
+++ b/src/cardamomdyke/daemon/pools.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from cardamomdyke.adapters.backend import TaskReport
+from cardamomdyke.gangs.phases import list_servers, outlived_start
 from cardamomdyke.gangs.state import AnswerKind, Gang, Phase
 from cardamomdyke.model.jobs import JobSpecification, JobStatus, MemberPlacement
 from cardamomdyke.model.tables import Pool
@@ -137,6 +138,47 @@
     return frozenset(list(dict.fromkeys(failed))[:limit])
 
 
+def split_suspects(queued: list[PlannedJob]) -> list[list[PlannedJob]]:
+    """Split queued jobs into groups that are planned one after the other.
+
+    First the jobs at whose starts no server crashed, then each other one by itself.
+    """
+    sound = [job for job in queued if not job.gang.crashed_servers]
+    suspects = [[job] for job in queued if job.gang.crashed_servers]
+    return [sound, *suspects] if sound else suspects
+
+
+def list_closed_servers(
+    jobs: list[PlannedJob], queued: list[PlannedJob]
+) -> frozenset[str]:
+    """Return the servers on which a group of jobs must not start now.
+
+    A suspect job starts beside no other start, so that a crash of the server counts
+    against the job that caused it.
+
+    Parameters
+    ----------
+    jobs : list of PlannedJob
+        All jobs of the pool here.
+    queued : list of PlannedJob
+        One group of `split_suspects`.
+
+    Returns
+    -------
+    frozenset of str
+        Names of backend servers.
+    """
+    is_suspect = any(job.gang.crashed_servers for job in queued)
+    starting = [
+        job.gang
+        for job in jobs
+        if check_holding(job.gang)
+        and (is_suspect or job.gang.crashed_servers)
+        and not outlived_start(job.gang)
+    ]
+    return frozenset(name for gang in starting for name in list_servers(gang))
+
+
 def check_uncertain(gang: Gang) -> bool:
     """Return whether members started by a previous planner may still run."""
     may_run = bool(gang.suspect_servers) or gang.unknown_history
--- a/src/cardamomdyke/gangs/members.py
+++ b/src/cardamomdyke/gangs/members.py
@@ -6,6 +6,16 @@
 from cardamomdyke.gangs.timing import RETRY_WAIT_SECONDS
 
 RUNNING_STATES = frozenset({AnswerKind.RUNNING, AnswerKind.FINISHED})
+# Answers of a server that has the member.
+REPORTED_STATES = frozenset(
+    {
+        AnswerKind.RESERVED,
+        AnswerKind.RUNNING,
+        AnswerKind.FINISHED,
+        AnswerKind.FAILED,
+        AnswerKind.STOPPED,
+    }
+)
 LOST_STATES = frozenset(
     {
         AnswerKind.GONE,
@@ -45,6 +55,7 @@
             return replace(member, retry_at=now + RETRY_WAIT_SECONDS)
         case AnswerKind.NOT_SENT | AnswerKind.REFUSED if call not in PLACING_CALLS:
             return replace(member, retry_at=now + RETRY_WAIT_SECONDS)
+    member = note_boot(member, event)
     member = replace(
         member,
         state=event.kind,
@@ -59,6 +70,20 @@
     return member
 
 
+def note_boot(member: Member, event: MemberAnswered) -> Member:
+    """Return the member with its server's boot, or with the proof of a crash.
+
+    A server that does not know a member and has another boot than when it had it
+    crashed in between. Silence is no proof.
+    """
+    if event.boot_id and event.kind in REPORTED_STATES:
+        return replace(member, boot_id=event.boot_id)
+    if event.boot_id and event.kind is AnswerKind.GONE:
+        restarted = member.boot_id not in ("", event.boot_id)
+        return replace(member, crashed=member.crashed or restarted)
+    return member
+
+
 def check_gone(member: Member, now: float) -> bool:
     """Return whether a member certainly neither runs nor holds accelerators."""
     if not member.may_hold:
--- a/src/cardamomdyke/gangs/phases.py
+++ b/src/cardamomdyke/gangs/phases.py
@@ -17,10 +17,12 @@
     EXTENSION_TIMEOUT_SECONDS,
     MAX_BACKOFF_SECONDS,
     MAX_MEMBER_FAILURES,
+    MAX_START_CRASHES,
     RESERVING_TIMEOUT_SECONDS,
     RETRY_WAIT_SECONDS,
     RUN_LEASE_SECONDS,
     START_LEASE_SECONDS,
+    START_RISK_SECONDS,
     STOP_MARGIN_SECONDS,
 )
 from cardamomdyke.model.errors import ProblemKind, make_problem
@@ -85,6 +87,30 @@
     )
 
 
+def outlived_start(gang: Gang) -> bool:
+    """Return whether all members were seen for long enough after their start."""
+    seen_until = gang.started_at + START_RISK_SECONDS
+    return bool(gang.members) and all(
+        member.state is AnswerKind.FINISHED or member.renewed_at >= seen_until
+        for member in gang.members
+    )
+
+
+def count_start_crash(gang: Gang) -> Gang:
+    """Count a proven crash of a server at the start of a stopped attempt.
+
+    A job that crashes each server which starts it would take down one after the other.
+    """
+    if outlived_start(gang):
+        return gang
+    crashed = [
+        placement.server
+        for member, placement in zip(gang.members, gang.placements, strict=True)
+        if member.crashed and member.first_start_at < float("inf")
+    ]
+    return replace(gang, crashed_servers=(*gang.crashed_servers, *crashed[:1]))
+
+
 def find_extension_deadline(gang: Gang) -> float:
     """Return the latest time to extend all start leases."""
     first = find_first_start(gang.members)
@@ -175,6 +201,8 @@
     running = [m for m in gang.members if m.state is not AnswerKind.FINISHED]
     if not running:
         return stop_members(gang, Ending(JobState.FINISHED), now)
+    if gang.crashed_servers and outlived_start(gang):
+        gang = replace(gang, crashed_servers=())
     limit = RUN_LEASE_SECONDS - STOP_MARGIN_SECONDS
     if any(now >= member.lease_from + limit for member in running):
         return abandon_attempt(gang, "a member's lease ends without an answer", now)
@@ -208,7 +236,12 @@
     if not all(check_gone(member, now) for member in gang.members):
         return gang
     if gang.ending.state is JobState.QUEUED:
-        return requeue(gang, now)
+        gang = count_start_crash(gang)
+        if len(gang.crashed_servers) < MAX_START_CRASHES:
+            return requeue(gang, now)
+        reason = f"crashed its servers {', '.join(gang.crashed_servers)} at its starts"
+        kind = ProblemKind.JOB_FAILED
+        return stop_with_problem(gang, JobState.NOT_KNOWN, kind, reason, now)
     if gang.end_marked or gang.epoch == 0:
         return replace(gang, phase=Phase.ENDED)
     return gang
--- a/src/cardamomdyke/gangs/state.py
+++ b/src/cardamomdyke/gangs/state.py
@@ -93,6 +93,10 @@
         Time from which the lease of that renewal counts.
     retry_at : float
         Earliest time to repeat the call.
+    boot_id : str
+        Boot of its server when that last had the member; empty before.
+    crashed : bool
+        True once its server is known to have restarted since.
     checkpointed : bool
         True once the ordered checkpoint is confirmed.
     checkpoint_age_seconds : float
@@ -109,6 +113,8 @@
     renewed_at: float = float("-inf")
     lease_from: float = float("-inf")
     retry_at: float = float("-inf")
+    boot_id: str = ""
+    crashed: bool = False
     checkpointed: bool = False
     checkpoint_age_seconds: float = 0.0
     answer: str = ""
@@ -187,6 +193,9 @@
         Placements since the gang last ran that did not get it running.
     failed_servers : tuple of str
         Backend servers on which members failed by themselves, one per failure.
+    crashed_servers : tuple of str
+        Backend servers that crashed at the gang's starts, one per attempt, since it
+        last outlived a start.
     ending : Ending or None
         What follows once all members have stopped; None while undecided.
     """
@@ -215,6 +224,7 @@
     started_at: float = float("inf")
     attempts: int = 0
     failed_servers: tuple[str, ...] = ()
+    crashed_servers: tuple[str, ...] = ()
     ending: Ending | None = None
 
 
@@ -298,6 +308,8 @@
         Work that a stop would lose.
     answer : str
         The member's answer or error.
+    boot_id : str
+        Boot of the backend server that answered; empty without an answer.
     """
 
     call: "CallMember"
@@ -305,6 +317,7 @@
     sent_at: float
     checkpoint_age_seconds: float = 0.0
     answer: str = ""
+    boot_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cardamomdyke/gangs/timing.py
+++ b/src/cardamomdyke/gangs/timing.py
@@ -31,5 +31,11 @@
 MAX_BACKOFF_SECONDS = 5.0
 # Failures of its own members after which a job ends as failed.
 MAX_MEMBER_FAILURES = 3
+# A gang whose renewals are answered this long after its start has outlived the start; a
+# later crash of a server does not count against it.
+START_RISK_SECONDS = 1.0
+# Crashes of servers at a gang's starts after which its job ends as failed. The third
+# spares a sound job that was twice on a server that crashed for another reason.
+MAX_START_CRASHES = 3
 # Time for the log to record a complete answer before the end goes into the claim.
 LOG_RECORD_WAIT_SECONDS = 2.0
--- a/tests/gangs/model.py
+++ b/tests/gangs/model.py
@@ -278,7 +278,8 @@
             event: Event = self.claim(planner, action, sent_at)
         else:
             kind, answer = self.apply(message, action)
-            event = MemberAnswered(action, kind, sent_at, 0.0, answer)
+            boot_id = self.backends[message.server].boot_id
+            event = MemberAnswered(action, kind, sent_at, 0.0, answer, boot_id)
         if not answered or not planner.alive:
             return
         if message.server in self.backends:
