--- a/src/cardamomdyke/adapters/backend.py
+++ b/src/cardamomdyke/adapters/backend.py
@@ -179,9 +179,14 @@
     holder : str
         Fencing token, second part.
     lease_seconds : float
-        New remaining time of the lease.
+        Length of the new lease. A renewal's lease counts from its sending or before,
+        however late the server carries it out.
     ticket : str
-        Start ticket; required only for a start.
+        Start ticket; required for a start and a renewal.
+    ticket_age_seconds : float
+        Time from the ticket's receipt to the start of a renewed lease. With the time
+        in the ticket it gives that start on the server's clock. Negative when the
+        ticket came later.
     """
 
     job_id: str
@@ -190,6 +195,7 @@
     holder: str
     lease_seconds: float = 0.0
     ticket: str = ""
+    ticket_age_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
