Keep the expiry of leases in a module of its own

Change: apply_timeouts, the expiry times and the release of runs are in planner/expiry.py; nothing else changes. Conclusion: a move of code.

--- a/src/cardamomdyke/control/driver.py
+++ b/src/cardamomdyke/control/driver.py
@@ -25,6 +25,7 @@
 from cardamomdyke.model.servers import CallFault, RunLists
 from cardamomdyke.planner.actions import Action, Note, PollOrder, SendStart, SendStop
 from cardamomdyke.planner.attempts import cancel_job
+from cardamomdyke.planner.expiry import apply_timeouts
 from cardamomdyke.planner.looks import (
     LOOK_PERIOD_SECONDS,
     LOOK_TIMEOUT_SECONDS,
@@ -35,7 +36,6 @@
 from cardamomdyke.planner.occurrences import find_next_due
 from cardamomdyke.planner.planning import PLACED_KIND, plan_starts
 from cardamomdyke.planner.polls import (
-    apply_timeouts,
     handle_poll_answer,
     handle_poll_fault,
     is_busy,
--- a/src/cardamomdyke/planner/polls.py
+++ b/src/cardamomdyke/planner/polls.py
@@ -23,15 +23,13 @@
     clear_silent_start,
     clear_suspect,
     mark_silent_start,
-    remember_lapsed_run,
     resolve_lapsed_runs,
     was_missing,
 )
+from cardamomdyke.planner.expiry import note_lost_run, release_members
 from cardamomdyke.planner.leases import (
     ClockReading,
     estimate_clock,
-    find_inherited_expiry,
-    find_lease_expiry,
 )
 from cardamomdyke.planner.state import (
     Job,
@@ -47,12 +45,8 @@
 from cardamomdyke.planner.suspicion import clear_suspicion, record_failure
 from cardamomdyke.planner.unsettled import (
     LATE_ORDER_SECONDS,
-    STOP_RETRY_WAIT_SECONDS,
-    find_arrival,
     find_latest_arrival,
     find_start,
-    forget_old_orders,
-    is_replaced,
     settle_listed_run,
     stop_unsettled_starts,
 )
@@ -479,91 +473,6 @@
         server.listed = False
 
 
-def apply_timeouts(state: PlannerState, now: float) -> None:
-    """Repeat unanswered stops, and release silent servers whose leases expired."""
-    forget_old_orders(state, now)
-    for server in list(state.servers.values()):
-        for job, unit, member in list_holders(state, server):
-            pending = member.stop_requested and not member.stop_confirmed_at
-            due = now - member.stop_sent_at >= STOP_RETRY_WAIT_SECONDS
-            if pending and member.phase is not MemberPhase.ENDED and due:
-                send_stop(state, job, unit, member, now)
-        if not server.failing_since:
-            stop_unsettled_starts(state, server, now)
-            continue
-        expired = [
-            holder
-            for holder in list_holders(state, server)
-            if now >= find_member_expiry(state, server, *holder)
-        ]
-        if expired:
-            for job, unit, member in expired:
-                remember_lapsed_run(state, server, job, unit, member, now)
-            release_members(state, server, expired, "its leases have expired", now)
-
-
-def find_server_expiry(state: PlannerState, server: Server) -> float:
-    """Return the steady-clock time by which all runs on a silent server have ended."""
-    if server.reading is None:
-        return server.inherited_until
-    expiry = find_lease_expiry(server.reading, server.lease_until)
-    if not server.late_grant_until:
-        return expiry
-    lease_limit = state.limits.lease_seconds
-    return max(expiry, find_inherited_expiry(server.late_grant_until, lease_limit))
-
-
-def find_member_expiry(
-    state: PlannerState, server: Server, job: Job, unit: Unit, member: Member
-) -> float:
-    """Return the steady-clock time by which a run on a silent server has ended.
-
-    Where the store lists a later instance, a start to the earlier one may take effect
-    there, with the longest lease.
-    """
-    expiry = find_server_expiry(state, server)
-    if unit.attempt is None or not is_replaced(server, member):
-        return expiry
-    arrival = find_arrival(state, server, job, unit, unit.attempt, member)
-    if not arrival:
-        return expiry
-    return max(expiry, find_inherited_expiry(arrival, state.limits.lease_seconds))
-
-
-def release_members(
-    state: PlannerState,
-    server: Server,
-    holders: list[tuple[Job, Unit, Member]],
-    reason: str,
-    now: float,
-) -> None:
-    """End members on a server as if its lease had expired."""
-    state.note(
-        "server.given_up", server.entry.name, reason=reason, holders=len(holders)
-    )
-    server.unknown_runs.clear()
-    for job, unit, member in holders:
-        note_lost_run(state, job, unit, member, reason)
-        end_member(state, job, unit, member, EndKind.LAPSED, now)
-
-
-def note_lost_run(
-    state: PlannerState, job: Job, unit: Unit, member: Member, cause: str
-) -> None:
-    """Log a run that was lost with its server, and how long it was seen to run."""
-    state.note(
-        "run.lost",
-        job.job_id,
-        unit=unit.key,
-        index=member.index,
-        run=unit.last_run,
-        server=member.server,
-        cause=cause,
-        phase=member.phase.value,
-        seen_for=round(max(0.0, member.confirmed_at - member.sent_at), 3),
-    )
-
-
 def measure_free_capacity(server: Server) -> Shape:
     """Return a server's capacity less the resources of its runs."""
     used = [*server.holders.values(), *server.unknown_runs.values()]
--- a/tests/planner/world.py
+++ b/tests/planner/world.py
@@ -30,6 +30,7 @@
 )
 from cardamomdyke.planner.actions import Action, SendStart, SendStop
 from cardamomdyke.planner.attempts import cancel_job
+from cardamomdyke.planner.expiry import apply_timeouts
 from cardamomdyke.planner.inputs import Limits
 from cardamomdyke.planner.looks import (
     LOOK_PERIOD_SECONDS,
@@ -40,7 +41,6 @@
 )
 from cardamomdyke.planner.planning import plan_starts
 from cardamomdyke.planner.polls import (
-    apply_timeouts,
     handle_poll_answer,
     handle_poll_fault,
     is_busy,
