--- a/src/cardamomdyke/planner/attempts.py
+++ b/src/cardamomdyke/planner/attempts.py
@@ -48,6 +48,7 @@
     """
     unit.last_run += 1
     unit.ready_since = 0.0
+    unit.pending_reason = unit.reported_reason = ""
     shape = job.find_step(unit).shape
     members = {}
     for index, name in placements.items():
@@ -109,6 +110,7 @@
     ended = all(item.phase is MemberPhase.ENDED for item in attempt.members.values())
     if ended and unit.attempt is attempt:
         unit.attempt = None
+        unit.ended_at = now
         unit.not_before = max(unit.not_before, now + RETRY_WAIT_SECONDS)
 
 
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -24,6 +24,7 @@
     close_servers,
 )
 from cardamomdyke.planner.occurrences import update_occurrences
+from cardamomdyke.planner.pending import PendingReason, report_pending
 from cardamomdyke.planner.placement import PoolCapacity, fits_all, take_capacity
 from cardamomdyke.planner.quotas import (
     check_allowance,
@@ -72,6 +73,7 @@
                 plan_safely(draft, job, plan_job)
     for job in ranked:
         plan_safely(draft, job, move_long_running)
+    report_pending(draft)
 
 
 def plan_safely(draft: Draft, job: Job, plan_job: Callable[[Draft, Job], None]) -> None:
@@ -145,11 +147,13 @@
         return
     for unit in ready:
         unit.ready_since = unit.ready_since or draft.now
+        unit.pending_reason = PendingReason.PLACEMENT
     pool_capacity = find_pool_capacity(draft, job.record.pool)
-    unplaceable_steps: set[int] = set()
+    unplaceable_steps: dict[int, str] = {}
     for unit in ready:
         step_number = unit.key[1]
         if step_number in unplaceable_steps:
+            unit.pending_reason = unplaceable_steps[step_number]
             continue
         release_reservation(draft, pool_capacity, job, unit)
         if is_suspect(draft.state, job, unit):
@@ -160,7 +164,7 @@
         else:
             placed = place_batch_unit(draft, pool_capacity, job, unit)
         if not placed:
-            unplaceable_steps.add(step_number)
+            unplaceable_steps[step_number] = unit.pending_reason
 
 
 def place_suspect(
@@ -174,9 +178,11 @@
     if not (job.is_urgent or job.find_step(unit).long_running):
         headroom = find_headroom(draft, job.record.pool)
         if headroom is None or not check_headroom(headroom, job, unit, draft.now):
+            unit.pending_reason = PendingReason.HEADROOM
             return
     if not check_quota(draft, job, unit):
         return
+    unit.pending_reason = PendingReason.ISOLATION
     names = choose_isolated_servers(draft, pool_capacity, job, unit)
     if names is not None:
         unit.reserved_servers = ()
@@ -205,7 +211,10 @@
     if place_unit(draft, pool_capacity, job, unit):
         unit.reserved_servers = ()
         return True
-    return reclaim_capacity(draft, pool_capacity, job, unit)
+    if not reclaim_capacity(draft, pool_capacity, job, unit):
+        return False
+    unit.pending_reason = PendingReason.RESERVATION
+    return True
 
 
 def place_batch_unit(
@@ -215,8 +224,9 @@
     headroom = find_headroom(draft, job.record.pool)
     if headroom is None:
         return False
-    may_start = check_headroom(headroom, job, unit, draft.now)
-    if may_start and place_unit(draft, pool_capacity, job, unit):
+    if not check_headroom(headroom, job, unit, draft.now):
+        unit.pending_reason = PendingReason.HEADROOM
+    elif place_unit(draft, pool_capacity, job, unit):
         headroom.free -= measure_need(job, unit, headroom)
         return True
     hold_for_gang(headroom, job, unit)
@@ -274,7 +284,11 @@
     """Check that a unit fits the unused quota of its client account."""
     step = job.find_step(unit)
     count = len(list_indices(step, unit))
-    return check_allowance(draft.allowances, job.record.account, step.shape, count)
+    account = job.record.account
+    if check_allowance(draft.allowances, account, step.shape, count):
+        return True
+    unit.pending_reason = PendingReason.QUOTA
+    return False
 
 
 def start_unit(
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -163,8 +163,14 @@
         Servers on which it failed.
     not_before : float
         Earliest time of the next attempt.
+    ended_at : float
+        When its last attempt of this term ended; 0 before.
     ready_since : float
         Since when it waits only for resources; 0 if it does not.
+    pending_reason : str
+        What kept it from starting in the last plan; a `PendingReason`.
+    reported_reason : str
+        Reason that was last logged since it began to wait.
     reserved_servers : tuple of str
         One server per task, on which resources are being freed for it.
     crashes : set of (int, int)
@@ -190,7 +196,10 @@
     avoided_servers: set[str] = field(default_factory=set)
     failed_servers: set[str] = field(default_factory=set)
     not_before: float = 0.0
+    ended_at: float = 0.0
     ready_since: float = 0.0
+    pending_reason: str = ""
+    reported_reason: str = ""
     reserved_servers: tuple[str, ...] = ()
     crashes: set[tuple[int, int]] = field(default_factory=set)
     possible_crashes: set[tuple[int, int]] = field(default_factory=set)
@@ -373,6 +382,8 @@
         Recent arrivals of urgent jobs, the oldest first.
     share_balances : dict of str to ShareBalance
         Balances of the client accounts that have a weight, by name.
+    pending_reported_at : float
+        When the reasons of waiting units were last compared with the log.
     set_aside : set of str
         Ids of jobs that cannot be planned because of an unexpected error.
     suspect_units : set of (str, UnitKey)
@@ -400,6 +411,7 @@
     superseded: bool = False
     urgent_arrivals: deque[UrgentArrival] = field(default_factory=deque)
     share_balances: dict[str, ShareBalance] = field(default_factory=dict)
+    pending_reported_at: float = 0.0
     set_aside: set[str] = field(default_factory=set)
     suspect_units: set[tuple[str, UnitKey]] = field(default_factory=set)
     lapsed_runs: list[LapsedRun] = field(default_factory=list)
--- a/tests/planner/world.py
+++ b/tests/planner/world.py
@@ -28,7 +28,7 @@
     RunLists,
     ServerEntry,
 )
-from cardamomdyke.planner.actions import Action, SendStart, SendStop
+from cardamomdyke.planner.actions import Action, Note, SendStart, SendStop
 from cardamomdyke.planner.attempts import cancel_job
 from cardamomdyke.planner.expiry import apply_timeouts
 from cardamomdyke.planner.inputs import Limits
@@ -128,6 +128,7 @@
     """Simulated deployment, advanced by a queue of events in virtual time."""
 
     records: list[tuple[str, bytes]] = field(default_factory=list)
+    notes: list[Note] = field(default_factory=list)
     epoch: int = 0
     store_up: bool = True
     planners: list[Planner] = field(default_factory=list)
@@ -400,6 +401,8 @@
             self.send_start(planner, action)
         elif isinstance(action, SendStop):
             self.send_stop(planner, action)
+        elif isinstance(action, Note):
+            self.notes.append(action)
 
     # Calls.
 
