Spread a suspect gang that has waited for one rack

Callers saw: an accepted gang that never runs again after a server crashed at its start, beside idle servers (LOST). Cause: the wait for one rack was limited where other units are placed, not where suspect units are. The class: a preference of the planner without an end becomes a condition of the start. Evidence: tests/planner/test_waits.py before: 4 failed. Change: planner/relaxation.py decides for all such preferences when they end: after a wait, if the pool lists room for the unit twice over and is used to less than 60%. find_spread_step uses it for all gangs, and choose_isolated_servers offers its step too. Room and use are measured on the listed servers, as the platform counts them, no longer on those that the pass may use. Gangs of pools that are used to 50% to 60% are spread after 2 s now, which makes them run longer.

--- a/src/cardamomdyke/planner/drafts.py
+++ b/src/cardamomdyke/planner/drafts.py
@@ -4,6 +4,7 @@
 
 from cardamomdyke.model.orders import Shape, StepOrder
 from cardamomdyke.planner.headroom import Headroom, make_headroom
+from cardamomdyke.planner.inputs import UnitKey
 from cardamomdyke.planner.placement import (
     PoolCapacity,
     ServerCapacity,
@@ -72,6 +73,12 @@
         Attempts that each kind of requester may preempt.
     stopping : dict of str to list of (Shape, int), or None
         Tasks that are being stopped, by server; None until first used.
+    used_shares : dict of str to float
+        Used share of each pool, measured at first use.
+    rooms : dict of Requirements to int
+        Number of tasks for which a pool has room, measured at first use.
+    closures : dict of (str, UnitKey) to tuple of str
+        Servers that are closed to all but a suspect unit, by job id and unit.
     settled : set of str or None
         Servers on which every run has outlived its start; None until first used.
     """
@@ -88,6 +95,9 @@
     )
     victim_indexes: dict[Requester, VictimIndex] = field(default_factory=dict)
     stopping: dict[str, list[tuple[Shape, int]]] | None = None
+    used_shares: dict[str, float] = field(default_factory=dict)
+    rooms: dict[Requirements, int] = field(default_factory=dict)
+    closures: dict[tuple[str, UnitKey], tuple[str, ...]] = field(default_factory=dict)
     settled: set[str] | None = None
 
 
--- a/src/cardamomdyke/planner/isolation.py
+++ b/src/cardamomdyke/planner/isolation.py
@@ -15,7 +15,11 @@
     choose_servers,
     close_server,
 )
-from cardamomdyke.planner.seeking import count_placed, filter_data_rack
+from cardamomdyke.planner.seeking import (
+    count_placed,
+    filter_data_rack,
+    find_spread_step,
+)
 from cardamomdyke.planner.state import (
     Job,
     PlannerState,
@@ -35,19 +39,26 @@
 ) -> list[str] | None:
     """Choose servers for a suspect unit, or None if none are suitable.
 
-    Idle servers come first, since a crash there disturbs nobody. Results are not
-    cached in the draft, which would hold for other units too.
+    Idle servers come first, since a crash there disturbs nobody. A gang that has waited
+    for one rack is spread, as other gangs are. Results are not cached in the draft,
+    which would hold for other units too.
     """
     step = job.find_step(unit)
     count = len(list_indices(step, unit))
     placed = count_placed(job, unit) if step.server_limit else Counter()
     settled = filter_servers(pool_capacity, find_settled(draft))
     idle = filter_servers(settled, find_idle(draft.state))
-    for candidates in (idle, settled):
-        for capacity in (filter_data_rack(candidates, step), candidates):
-            names = choose_servers(capacity, step, count, placed, unit.avoided_servers)
-            if names is not None:
-                return names
+    steps = [step, find_spread_step(draft, job, unit, placed)]
+    for allowed_step in steps:
+        if allowed_step is None:
+            continue
+        for candidates in (idle, settled):
+            for capacity in (filter_data_rack(candidates, step), candidates):
+                names = choose_servers(
+                    capacity, allowed_step, count, placed, unit.avoided_servers
+                )
+                if names is not None:
+                    return names
     return None
 
 
--- /dev/null
+++ b/src/cardamomdyke/planner/relaxation.py
@@ -0,0 +1,98 @@
+"""When a unit that waits is placed without a preference of the planner.
+
+One rack for a gang, capacity that is kept for other work, or a server apart from other
+starts are preferences: each may delay a start, none may prevent it. The platform counts
+work as lost that waits 3 s while its pool has room for it twice over and is used to
+less than half.
+"""
+
+from collections import Counter
+
+from cardamomdyke.planner.drafts import Draft, make_requirements
+from cardamomdyke.planner.placement import count_fits
+from cardamomdyke.planner.polls import measure_free_capacity
+from cardamomdyke.planner.state import Job, PlannerState, Unit, list_indices
+
+# Attributes of a shape.
+RESOURCES = ("millicores", "memory_mb", "accelerators")
+# Room for this many times the tasks of a unit.
+MIN_SPARE_FACTOR = 2
+# More than half, since what is being stopped counts as used here.
+MAX_USED_SHARE = 0.6
+
+
+def may_relax(
+    draft: Draft, job: Job, unit: Unit, placed: Counter[str], wait_seconds: float
+) -> bool:
+    """Return whether a unit has waited long enough beside idle servers.
+
+    Parameters
+    ----------
+    draft : Draft
+        Planning pass.
+    job : Job
+        Job of the unit.
+    unit : Unit
+        Unit that waits only for resources.
+    placed : Counter of str
+        Tasks of its step already on each server, if the step limits them.
+    wait_seconds : float
+        Time for which the preference holds.
+
+    Returns
+    -------
+    bool
+        True if the preference no longer holds.
+    """
+    if not unit.ready_since or draft.now - unit.ready_since < wait_seconds:
+        return False
+    pool = job.record.pool
+    if pool not in draft.used_shares:
+        draft.used_shares[pool] = measure_used_share(draft.state, pool)
+    if draft.used_shares[pool] >= MAX_USED_SHARE:
+        return False
+    count = len(list_indices(job.find_step(unit), unit))
+    return measure_room(draft, job, unit, placed) >= MIN_SPARE_FACTOR * count
+
+
+def measure_used_share(state: PlannerState, pool: str) -> float:
+    """Return the used share of the most used resource of a pool's listed servers."""
+    used = [0, 0, 0]
+    total = [0, 0, 0]
+    for server in state.servers.values():
+        if not server.listed or server.entry.pool != pool:
+            continue
+        capacity = server.entry.capacity
+        free = measure_free_capacity(server)
+        for number, name in enumerate(RESOURCES):
+            total[number] += getattr(capacity, name)
+            used[number] += getattr(capacity, name) - getattr(free, name)
+    shares = [part / most for part, most in zip(used, total, strict=True) if most]
+    return max(shares, default=1.0)
+
+
+def measure_room(draft: Draft, job: Job, unit: Unit, placed: Counter[str]) -> int:
+    """Return how many tasks like a unit's fit on the servers that its pool lists.
+
+    Servers that get no work for a while count, since the platform counts them too.
+    """
+    step = job.find_step(unit)
+    requirements = make_requirements(job.record.pool, step)
+    if not step.server_limit and requirements in draft.rooms:
+        return draft.rooms[requirements]
+    room = 0
+    for name, server in draft.state.servers.items():
+        entry = server.entry
+        if entry.pool != job.record.pool or not server.listed or entry.draining:
+            continue
+        if entry.failure_domain in draft.state.evacuated:
+            continue
+        if step.required_label and step.required_label not in entry.labels:
+            continue
+        fits = count_fits(measure_free_capacity(server), step.shape)
+        if step.server_limit:
+            fits = max(0, min(fits, step.server_limit - placed[name]))
+        room += fits
+    if not step.server_limit:
+        draft.rooms[requirements] = room
+    return room
--- a/src/cardamomdyke/planner/seeking.py
+++ b/src/cardamomdyke/planner/seeking.py
@@ -5,17 +5,12 @@
 
 from cardamomdyke.model.orders import StepOrder
 from cardamomdyke.planner.drafts import Draft, make_requirements
-from cardamomdyke.planner.placement import (
-    PoolCapacity,
-    choose_servers,
-    count_fits,
-)
+from cardamomdyke.planner.placement import PoolCapacity, choose_servers
+from cardamomdyke.planner.relaxation import may_relax
 from cardamomdyke.planner.state import Job, Unit, list_indices
 
 # The platform counts a task as lost that waits 3 s while its pool has capacity.
 MAX_RACK_WAIT_SECONDS = 2.0
-# Attributes of free and of total capacity.
-RESOURCES = ("millicores", "memory_mb", "accelerators")
 
 
 def choose_unit_servers(
@@ -37,29 +32,33 @@
         if found is not None or waited < max_wait:
             return found
     found = choose_in_any_rack(draft, pool_capacity, job, unit, placed)
-    if found is not None or not step.rack_sensitive or waited < MAX_RACK_WAIT_SECONDS:
+    if found is not None:
         return found
-    if not is_mostly_idle(pool_capacity, step, count):
+    spread_step = find_spread_step(draft, job, unit, placed)
+    if spread_step is None:
         return None
-    spread_step = replace(step, rack_sensitive=False)
     return choose_servers(
         pool_capacity, spread_step, count, placed, unit.avoided_servers
     )
 
 
-def is_mostly_idle(pool_capacity: PoolCapacity, step: StepOrder, count: int) -> bool:
-    """Return whether some tasks fit twice over and half of each resource is free.
+def find_spread_step(
+    draft: Draft, job: Job, unit: Unit, placed: Counter[str]
+) -> StepOrder | None:
+    """Return the step of a gang that has waited for one rack, as one for all racks.
 
-    In a pool this idle a rack is held by work that may last, not by a queue.
+    Returns
+    -------
+    StepOrder or None
+        None while the gang waits for a rack, or if it needs none. In a busy pool it
+        goes on waiting: over several racks it runs for longer, and servers get free.
     """
-    servers = pool_capacity.by_name.values()
-    if sum(count_fits(server, step.shape) for server in servers) < 2 * count:
-        return False
-    return all(
-        2 * sum(getattr(server, name) for server in servers)
-        >= sum(getattr(server.total, name) for server in servers)
-        for name in RESOURCES
-    )
+    step = job.find_step(unit)
+    if not step.rack_sensitive:
+        return None
+    if not may_relax(draft, job, unit, placed, MAX_RACK_WAIT_SECONDS):
+        return None
+    return replace(step, rack_sensitive=False)
 
 
 def choose_in_any_rack(
