Give up a reservation that its account's quota forbids

Callers saw: batch work that never runs again on servers which are kept for an urgent job of an account whose quota has been lowered. Cause: reclaim_capacity kept a reservation before it looked at the quota. Evidence: test_reservation_ends_when_a_lower_quota_forbids_the_start before: 0 of 8 tasks ran after 10 s. Change: the quota is checked first, and a unit that does not fit it has no reservation. Figures: after: passed, tests/planner/test_quotas.py too. Conclusion: a reservation lasts only while its unit may start.

--- a/src/cardamomdyke/planner/claims.py
+++ b/src/cardamomdyke/planner/claims.py
@@ -78,14 +78,15 @@
     placed = count_placed(job, unit) if step.server_limit else Counter()
     guaranteed = job.job_id in draft.guaranteed
     expected = find_expected_capacity(draft, pool_capacity)
+    requester = Requester(job.record.priority, guaranteed, step.long_running)
+    if not reclaim_allowance(draft, requester, job, unit):
+        unit.reserved_servers = ()
+        return False
     if unit.reserved_servers and fits_all(expected, unit.reserved_servers, step.shape):
         # Choosing again would stop other work each time that a cost changes.
         take_reservation(draft, pool_capacity, job, unit)
         return True
     unit.reserved_servers = ()
-    requester = Requester(job.record.priority, guaranteed, step.long_running)
-    if not reclaim_allowance(draft, requester, job, unit):
-        return False
     requirements = make_requirements(job.record.pool, step)
     cacheable = not step.server_limit
     if cacheable and count >= draft.unreclaimable.get(
