Plan a unit with a reservation also behind one that does not fit

Callers saw: a long-running task that never starts though its servers have been freed for it. Cause: once a unit does not fit, place_job skips the rest of its step, also units whose reservation is the very capacity that the first one lacks. Evidence: test_reserved_task_does_not_wait_behind_one_that_does_not_fit before: no task of the step ran after 5 s. Change: units with a reservation are not skipped. Conclusion: a reservation and a skipped step no longer wait for each other.

--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -140,7 +140,8 @@
 def place_job(draft: Draft, job: Job) -> None:
     """Create attempts for the ready units of a job.
 
-    Once a unit does not fit, the rest of its step is skipped.
+    Once a unit does not fit, the rest of its step is skipped, except units for which
+    capacity is reserved.
     """
     ready = [unit for unit in job.units.values() if is_ready(job, unit, draft.now)]
     if not ready:
@@ -152,7 +153,7 @@
     unplaceable_steps: dict[int, str] = {}
     for unit in ready:
         step_number = unit.key[1]
-        if step_number in unplaceable_steps:
+        if step_number in unplaceable_steps and not unit.reserved_servers:
             unit.pending_reason = unplaceable_steps[step_number]
             continue
         release_reservation(draft, pool_capacity, job, unit)
