Plan a job again a second after an unexpected error

Callers saw: an accepted job that starts nothing until another VM plans, after one unexpected error in a plan. Cause: a job was set aside for the rest of the term. Evidence: test_job_is_planned_again_after_an_unexpected_error before: queued after 8 s, although only the first two plans failed. Change: it is planned again after 1 s; job.set_aside is written again only when the error changes. The other jobs are planned as before. Conclusion: an error that depends on a passing state costs 1 s; one that does not pass still keeps its own job from starting.

--- a/src/cardamomdyke/planner/inputs.py
+++ b/src/cardamomdyke/planner/inputs.py
@@ -100,6 +100,22 @@
     stopped_instance: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class SetAside:
+    """A job that could not be planned because of an unexpected error.
+
+    Attributes
+    ----------
+    error : str
+        Error of the last try.
+    next_try_at : float
+        When it is planned again, in steady-clock seconds.
+    """
+
+    error: str
+    next_try_at: float
+
+
 @dataclass(slots=True)
 class ShareBalance:
     """Jobs that an account may submit now within its share.
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -18,6 +18,7 @@
     hold_for_gang,
     measure_need,
 )
+from cardamomdyke.planner.inputs import SetAside
 from cardamomdyke.planner.isolation import (
     ISOLATION_WAIT_SECONDS,
     choose_isolated_servers,
@@ -40,6 +41,9 @@
     list_indices,
 )
 
+# A job that could not be planned because of an unexpected error is tried again after
+# this time. The platform counts it as lost after 3 s.
+SET_ASIDE_SECONDS = 1.0
 # Kind of the log line for a placed unit.
 PLACED_KIND = "unit.placed"
 
@@ -73,22 +77,34 @@
                 plan_safely(draft, job, plan_job)
     for job in ranked:
         plan_safely(draft, job, move_long_running)
+    forget_set_aside(state, now)
     report_pending(draft)
 
 
 def plan_safely(draft: Draft, job: Job, plan_job: Callable[[Draft, Job], None]) -> None:
-    """Plan one job; after an unexpected error it starts nothing more in this term.
+    """Plan one job; after an unexpected error it is set aside for a while.
 
     An error that ends the term would end that of each later planner too, and one job
     would keep all others from starting.
     """
-    if job.job_id in draft.state.set_aside:
+    state, job_id = draft.state, job.job_id
+    former = state.set_aside.get(job_id)
+    if former is not None and draft.now < former.next_try_at:
         return
     try:
         plan_job(draft, job)
     except Exception as error:
-        draft.state.set_aside.add(job.job_id)
-        draft.state.note("job.set_aside", job.job_id, error=repr(error))
+        next_try_at = draft.now + SET_ASIDE_SECONDS
+        state.set_aside[job_id] = SetAside(repr(error), next_try_at)
+        if former is None or former.error != repr(error):
+            state.note("job.set_aside", job_id, error=repr(error))
+
+
+def forget_set_aside(state: PlannerState, now: float) -> None:
+    """Forget the jobs that were set aside and have been planned without an error."""
+    for job_id, item in list(state.set_aside.items()):
+        if item.next_try_at <= now or job_id not in state.jobs:
+            del state.set_aside[job_id]
 
 
 def rank_job(job: Job) -> tuple[int, bool, float]:
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -17,6 +17,7 @@
     LapsedRun,
     Limits,
     RunKey,
+    SetAside,
     ShareBalance,
     UnitKey,
     UnsettledStart,
@@ -384,8 +385,8 @@
         Balances of the client accounts that have a weight, by name.
     pending_reported_at : float
         When the reasons of waiting units were last compared with the log.
-    set_aside : set of str
-        Ids of jobs that cannot be planned because of an unexpected error.
+    set_aside : dict of str to SetAside
+        Jobs that could not be planned because of an unexpected error, by id.
     suspect_units : set of (str, UnitKey)
         Units at whose starts servers crashed, or may have, by job id and key.
     lapsed_runs : list of LapsedRun
@@ -412,7 +413,7 @@
     urgent_arrivals: deque[UrgentArrival] = field(default_factory=deque)
     share_balances: dict[str, ShareBalance] = field(default_factory=dict)
     pending_reported_at: float = 0.0
-    set_aside: set[str] = field(default_factory=set)
+    set_aside: dict[str, SetAside] = field(default_factory=dict)
     suspect_units: set[tuple[str, UnitKey]] = field(default_factory=set)
     lapsed_runs: list[LapsedRun] = field(default_factory=list)
     unsettled_starts: dict[str, dict[RunKey, UnsettledStart]] = field(
