Drop the unknown runs of a silent server once its leases have expired

Callers saw: work that waits for its account's quota, which a server that is gone goes on using. Cause: runs that no attempt knows were dropped only together with members of attempts on the same server, so a silent server without any kept them, and its entry in the planner, for the rest of the term. Evidence: test_runs_without_an_attempt_on_a_lost_server_free_the_quota before: no run 5 s after the longest lease had expired. Change: apply_timeouts drops them when the server's leases have expired. Figures: after: passed, with the quota and lease tests of the planner. Conclusion: unknown runs end like all others.

--- a/src/cardamomdyke/planner/expiry.py
+++ b/src/cardamomdyke/planner/expiry.py
@@ -34,6 +34,9 @@
         if not server.failing_since:
             stop_unsettled_starts(state, server, now)
             continue
+        if server.unknown_runs and now >= find_server_expiry(state, server):
+            # A server that is gone would use the quotas of these runs for good.
+            server.unknown_runs.clear()
         expired = [
             holder
             for holder in list_holders(state, server)
