Keep the servers of a suspect task free of starts of higher priority

Callers saw: a task at whose start a server crashed, and which never starts again while urgent jobs keep starting on every server. Cause: a suspect task needs servers on which every run has outlived its start. Servers were closed for it after the placement of jobs that rank before it, and anew in each plan, so a stream of starts kept each of them unsettled without end. Evidence: test_suspect_task_starts_beside_a_stream_of_urgent_starts before: not started after 12 s. Change: the chosen servers stay reserved. After 2 s, if the pool has room twice over (relaxation.may_relax), they are closed before other jobs are placed; only guaranteed jobs come first. Conclusion: a suspect task costs others its servers for about 2 s in a pool that is mostly idle; busy pools are as before.

--- a/src/cardamomdyke/planner/claims.py
+++ b/src/cardamomdyke/planner/claims.py
@@ -4,6 +4,7 @@
 
 from cardamomdyke.model.orders import StepOrder
 from cardamomdyke.planner.attempts import abort_attempt
+from cardamomdyke.planner.crashes import is_suspect
 from cardamomdyke.planner.drafts import (
     Draft,
     clear_unplaceable,
@@ -13,7 +14,13 @@
     make_requirements,
     mark_stopping,
 )
-from cardamomdyke.planner.placement import PoolCapacity, fits_all, take_capacity
+from cardamomdyke.planner.placement import (
+    PoolCapacity,
+    close_server,
+    fits_all,
+    open_server,
+    take_capacity,
+)
 from cardamomdyke.planner.preemption import (
     Requester,
     Victim,
@@ -26,7 +33,8 @@
     measure_expected_allowance,
     use_allowance,
 )
-from cardamomdyke.planner.seeking import count_placed
+from cardamomdyke.planner.relaxation import may_relax
+from cardamomdyke.planner.seeking import MAX_RACK_WAIT_SECONDS, count_placed
 from cardamomdyke.planner.state import Job, Unit, is_ready, list_indices
 
 
@@ -38,6 +46,29 @@
         if not usable or not is_ready(job, unit, draft.now):
             unit.reserved_servers = ()
         take_reservation(draft, pool_capacity, job, unit)
+        if unit.reserved_servers and may_close_ahead(draft, job, unit):
+            close_reserved(draft, pool_capacity, job, unit)
+
+
+def may_close_ahead(draft: Draft, job: Job, unit: Unit) -> bool:
+    """Return whether a suspect unit's servers are closed before other jobs are placed.
+
+    Otherwise a stream of starts of higher priority could keep each server unsettled.
+    """
+    if not is_suspect(draft.state, job, unit):
+        return False
+    placed = count_placed(job, unit)
+    return may_relax(draft, job, unit, placed, MAX_RACK_WAIT_SECONDS)
+
+
+def close_reserved(
+    draft: Draft, pool_capacity: PoolCapacity, job: Job, unit: Unit
+) -> None:
+    """Start nothing more on a unit's reserved servers, until they are released."""
+    names = tuple(set(unit.reserved_servers))
+    for name in names:
+        close_server(pool_capacity.by_name[name])
+    draft.closures[job.job_id, unit.key] = names
 
 
 def take_reservation(
@@ -53,7 +84,9 @@
 def release_reservation(
     draft: Draft, pool_capacity: PoolCapacity, job: Job, unit: Unit
 ) -> None:
-    """Add a unit's reservation back to the free capacity."""
+    """Add a unit's reservation back to the free capacity, and open its servers."""
+    for name in draft.closures.pop((job.job_id, unit.key), ()):
+        open_server(pool_capacity.by_name[name])
     if unit.reserved_servers:
         take_reservation(draft, pool_capacity, job, unit, -1)
         clear_unplaceable(draft)
--- a/src/cardamomdyke/planner/placement.py
+++ b/src/cardamomdyke/planner/placement.py
@@ -111,6 +111,11 @@
     capacity.accelerators -= shape.accelerators * count
 
 
+def open_server(capacity: ServerCapacity) -> None:
+    """Undo `close_server`."""
+    take_capacity(capacity, capacity.total, -1)
+
+
 def close_server(capacity: ServerCapacity) -> None:
     """Leave nothing of a server free in this pass, also if reservations are released.
 
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -1,13 +1,14 @@
 """Planning pass: which units start, on which servers, and what is preempted."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from cardamomdyke.jobs.records import GANG_INDEX
 from cardamomdyke.planner.attempts import abort_attempt, create_attempt
 from cardamomdyke.planner.claims import (
     check_server_limit,
     hold_reservations,
+    may_close_ahead,
     reclaim_capacity,
     release_reservation,
 )
@@ -201,8 +202,10 @@
         headroom = find_headroom(draft, job.record.pool)
         if headroom is None or not may_use_headroom(draft, headroom, job, unit):
             unit.pending_reason = PendingReason.HEADROOM
+            unit.reserved_servers = ()
             return
     if not check_quota(draft, job, unit):
+        unit.reserved_servers = ()
         return
     unit.pending_reason = PendingReason.ISOLATION
     names = choose_isolated_servers(draft, pool_capacity, job, unit)
@@ -217,13 +220,22 @@
 def free_servers(
     draft: Draft, pool_capacity: PoolCapacity, job: Job, unit: Unit
 ) -> None:
-    """Start nothing more on the servers that a suspect unit can use soonest."""
-    if job.is_urgent or job.find_step(unit).long_running:
-        reclaim_capacity(draft, pool_capacity, job, unit)
-        names: list[str] | None = list(unit.reserved_servers)
-    else:
-        names = choose_unit_servers(draft, pool_capacity, job, unit)
-    close_servers(pool_capacity, names or [])
+    """Start nothing more on the servers that a suspect unit can use soonest.
+
+    They stay the same as long as they fit, since each needs a while without a start.
+    """
+    step = job.find_step(unit)
+    names: Sequence[str] = unit.reserved_servers
+    may_reclaim = job.is_urgent or step.long_running
+    if may_reclaim and reclaim_capacity(draft, pool_capacity, job, unit):
+        close_servers(pool_capacity, unit.reserved_servers)
+        return
+    if not names or not fits_all(pool_capacity, names, step.shape):
+        names = choose_unit_servers(draft, pool_capacity, job, unit) or ()
+    close_servers(pool_capacity, names)
+    unit.reserved_servers = ()
+    if may_close_ahead(draft, job, unit):
+        unit.reserved_servers = tuple(names)
 
 
 def place_with_priority(
