Use suspended servers for a unit that has waited and fits nowhere else

Callers saw: a job for servers with one label waits for up to 16 s, though these servers are idle. Cause: a server that failed runs of two jobs gets nothing until its suspension ends, also where a job can run on no other server. Evidence: test_task_for_suspended_servers_does_not_wait_until_the_suspension_ends before: not started after 3 s. Change: after 2 s in a mostly idle pool (relaxation.may_relax) a unit that fits nowhere else may take suspended servers. Conclusion: such a unit may lose an attempt on a server that still fails; before, it lost the time.

--- a/src/cardamomdyke/planner/placement.py
+++ b/src/cardamomdyke/planner/placement.py
@@ -58,9 +58,23 @@
 
 def make_pool_capacity(state: PlannerState, pool: str, now: float) -> PoolCapacity:
     """Return the free capacity of a pool's usable servers."""
+    return measure_servers(state, pool, now, suspended=False)
+
+
+def make_suspended_capacity(state: PlannerState, pool: str, now: float) -> PoolCapacity:
+    """Return the free capacity of a pool's servers that are usable but suspended."""
+    return measure_servers(state, pool, now, suspended=True)
+
+
+def measure_servers(
+    state: PlannerState, pool: str, now: float, suspended: bool
+) -> PoolCapacity:
+    """Return the free capacity of a pool's servers that are suspended, or are not."""
     pool_capacity = PoolCapacity()
     watched = find_watched_servers(state)
     for name, server in state.servers.items():
+        if (server.suspended_until > now) is not suspended:
+            continue
         if name not in watched and check_usable(state, server, pool, now):
             free = measure_free_capacity(server)
             pool_capacity.by_name[name] = ServerCapacity(
@@ -77,7 +91,10 @@
 
 
 def check_usable(state: PlannerState, server: Server, pool: str, now: float) -> bool:
-    """Check that a pool's server is in service, answers and accepts starts."""
+    """Check that a pool's server is in service, answers and accepts starts.
+
+    Whether it is suspended is left to the caller.
+    """
     entry = server.entry
     if entry.pool != pool or not server.listed or entry.draining:
         return False
@@ -85,8 +102,7 @@
         return False
     answering = not server.failing_since and server.reading is not None
     recent = now - server.last_contact_at <= MAX_CONTACT_AGE_SECONDS
-    accepting = max(server.starts_paused_until, server.suspended_until) <= now
-    return answering and recent and accepting
+    return answering and recent and server.starts_paused_until <= now
 
 
 def count_fits(capacity: ServerCapacity | Shape, shape: Shape) -> int:
--- a/src/cardamomdyke/planner/seeking.py
+++ b/src/cardamomdyke/planner/seeking.py
@@ -5,7 +5,11 @@
 
 from cardamomdyke.model.orders import StepOrder
 from cardamomdyke.planner.drafts import Draft, make_requirements
-from cardamomdyke.planner.placement import PoolCapacity, choose_servers
+from cardamomdyke.planner.placement import (
+    PoolCapacity,
+    choose_servers,
+    make_suspended_capacity,
+)
 from cardamomdyke.planner.relaxation import may_relax
 from cardamomdyke.planner.state import Job, Unit, list_indices
 
@@ -18,8 +22,9 @@
 ) -> list[str] | None:
     """Choose a server for each task of a unit, or None if they do not fit.
 
-    A unit waits for its data's rack as long as that can save time. A gang that needs
-    one rack is spread after a wait, if its pool is mostly idle.
+    A unit waits for its data's rack as long as that can save time. After a wait in a
+    mostly idle pool a gang that needs one rack is spread, and servers are used that are
+    suspended.
     """
     step = job.find_step(unit)
     placed = count_placed(job, unit) if step.server_limit else Counter()
@@ -35,11 +40,38 @@
     if found is not None:
         return found
     spread_step = find_spread_step(draft, job, unit, placed)
-    if spread_step is None:
-        return None
-    return choose_servers(
-        pool_capacity, spread_step, count, placed, unit.avoided_servers
+    if spread_step is not None:
+        found = choose_servers(
+            pool_capacity, spread_step, count, placed, unit.avoided_servers
+        )
+    if found is None and may_relax(draft, job, unit, placed, MAX_RACK_WAIT_SECONDS):
+        return choose_with_suspended(
+            draft, pool_capacity, job, unit, placed, spread_step or step
+        )
+    return found
+
+
+def choose_with_suspended(
+    draft: Draft,
+    pool_capacity: PoolCapacity,
+    job: Job,
+    unit: Unit,
+    placed: Counter[str],
+    step: StepOrder,
+) -> list[str] | None:
+    """Choose servers for a unit that does not fit without suspended ones.
+
+    Those that are chosen are added to the pool's usable capacity in this pass.
+    """
+    suspended = make_suspended_capacity(draft.state, job.record.pool, draft.now)
+    by_name = {**suspended.by_name, **pool_capacity.by_name}
+    count = len(list_indices(step, unit))
+    found = choose_servers(
+        PoolCapacity(by_name), step, count, placed, unit.avoided_servers
     )
+    for name in found or ():
+        pool_capacity.by_name.setdefault(name, by_name[name])
+    return found
 
 
 def find_spread_step(
