Give each preference its own wait and the pools in which it ends

Cause: one limit of 60% for all preferences spread gangs over racks in pools that the platform does not count as idle; a gang runs three times as long then. Change: relaxation.Preference holds the wait and the used share: 52% for one rack, suspended servers and isolation, 60% for the headroom as before. Conclusion: the limits follow what each preference costs.

--- a/src/cardamomdyke/planner/claims.py
+++ b/src/cardamomdyke/planner/claims.py
@@ -33,8 +33,8 @@
     measure_expected_allowance,
     use_allowance,
 )
-from cardamomdyke.planner.relaxation import may_relax
-from cardamomdyke.planner.seeking import MAX_RACK_WAIT_SECONDS, count_placed
+from cardamomdyke.planner.relaxation import ISOLATION, may_relax
+from cardamomdyke.planner.seeking import count_placed
 from cardamomdyke.planner.state import Job, Unit, is_ready, list_indices
 
 
@@ -58,7 +58,7 @@
     if not is_suspect(draft.state, job, unit):
         return False
     placed = count_placed(job, unit)
-    return may_relax(draft, job, unit, placed, MAX_RACK_WAIT_SECONDS)
+    return may_relax(draft, job, unit, placed, ISOLATION)
 
 
 def close_reserved(
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -34,7 +34,7 @@
     measure_allowances,
     use_allowance,
 )
-from cardamomdyke.planner.relaxation import may_relax
+from cardamomdyke.planner.relaxation import HEADROOM, may_relax
 from cardamomdyke.planner.seeking import choose_unit_servers, count_placed
 from cardamomdyke.planner.state import (
     Job,
@@ -48,8 +48,6 @@
 # A job that could not be planned because of an unexpected error is tried again after
 # this time. The platform counts it as lost after 3 s.
 SET_ASIDE_SECONDS = 1.0
-# A job of which nothing runs leaves the headroom free for this long.
-MAX_IDLE_WAIT_SECONDS = 1.5
 # Kind of the log line for a placed unit.
 PLACED_KIND = "unit.placed"
 
@@ -277,7 +275,7 @@
     if has_work(draft.state, job):
         return False
     placed = count_placed(job, unit)
-    return may_relax(draft, job, unit, placed, MAX_IDLE_WAIT_SECONDS)
+    return may_relax(draft, job, unit, placed, HEADROOM)
 
 
 def move_long_running(draft: Draft, job: Job) -> None:
--- a/src/cardamomdyke/planner/relaxation.py
+++ b/src/cardamomdyke/planner/relaxation.py
@@ -7,6 +7,7 @@
 """
 
 from collections import Counter
+from dataclasses import dataclass
 
 from cardamomdyke.planner.drafts import Draft, make_requirements
 from cardamomdyke.planner.placement import count_fits
@@ -17,14 +18,40 @@
 RESOURCES = ("millicores", "memory_mb", "accelerators")
 # Room for this many times the tasks of a unit.
 MIN_SPARE_FACTOR = 2
-# More than half, since what is being stopped counts as used here.
-MAX_USED_SHARE = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class Preference:
+    """How long a preference may delay a start, and in which pools.
+
+    Attributes
+    ----------
+    wait_seconds : float
+        Time for which it holds.
+    max_used_share : float
+        Used share of the pool up to which it ends; in a busier pool capacity gets free
+        without that.
+    """
+
+    wait_seconds: float
+    max_used_share: float
+
+
+# One rack for a gang, which runs for longer over several. The share is above half by
+# the starts and stops that are under way, which count as used here.
+ONE_RACK = Preference(2.0, 0.52)
+# Servers that are not suspended.
+SOUND_SERVERS = Preference(2.0, 0.52)
+# Servers on which nothing else of higher priority has just started.
+ISOLATION = Preference(2.0, 0.52)
+# Capacity that is kept for urgent jobs and waiting gangs.
+HEADROOM = Preference(1.5, 0.6)
 
 
 def may_relax(
-    draft: Draft, job: Job, unit: Unit, placed: Counter[str], wait_seconds: float
+    draft: Draft, job: Job, unit: Unit, placed: Counter[str], preference: Preference
 ) -> bool:
-    """Return whether a unit has waited long enough beside idle servers.
+    """Return whether a preference has delayed a unit for long enough.
 
     Parameters
     ----------
@@ -36,20 +63,20 @@
         Unit that waits only for resources.
     placed : Counter of str
         Tasks of its step already on each server, if the step limits them.
-    wait_seconds : float
-        Time for which the preference holds.
+    preference : Preference
+        What the unit waits for.
 
     Returns
     -------
     bool
-        True if the preference no longer holds.
+        True if the unit is to start without it.
     """
-    if not unit.ready_since or draft.now - unit.ready_since < wait_seconds:
+    if not unit.ready_since or draft.now - unit.ready_since < preference.wait_seconds:
         return False
     pool = job.record.pool
     if pool not in draft.used_shares:
         draft.used_shares[pool] = measure_used_share(draft.state, pool)
-    if draft.used_shares[pool] >= MAX_USED_SHARE:
+    if draft.used_shares[pool] >= preference.max_used_share:
         return False
     count = len(list_indices(job.find_step(unit), unit))
     return measure_room(draft, job, unit, placed) >= MIN_SPARE_FACTOR * count
--- a/src/cardamomdyke/planner/seeking.py
+++ b/src/cardamomdyke/planner/seeking.py
@@ -10,7 +10,7 @@
     choose_servers,
     make_suspended_capacity,
 )
-from cardamomdyke.planner.relaxation import may_relax
+from cardamomdyke.planner.relaxation import ONE_RACK, SOUND_SERVERS, may_relax
 from cardamomdyke.planner.state import Job, Unit, list_indices
 
 # The platform counts a task as lost that waits 3 s while its pool has capacity.
@@ -44,7 +44,7 @@
         found = choose_servers(
             pool_capacity, spread_step, count, placed, unit.avoided_servers
         )
-    if found is None and may_relax(draft, job, unit, placed, MAX_RACK_WAIT_SECONDS):
+    if found is None and may_relax(draft, job, unit, placed, SOUND_SERVERS):
         return choose_with_suspended(
             draft, pool_capacity, job, unit, placed, spread_step or step
         )
@@ -88,7 +88,7 @@
     step = job.find_step(unit)
     if not step.rack_sensitive:
         return None
-    if not may_relax(draft, job, unit, placed, MAX_RACK_WAIT_SECONDS):
+    if not may_relax(draft, job, unit, placed, ONE_RACK):
         return None
     return replace(step, rack_sensitive=False)
 
--- a/tests/planner/test_headroom.py
+++ b/tests/planner/test_headroom.py
@@ -14,8 +14,8 @@
 )
 from cardamomdyke.planner.inputs import Limits
 from cardamomdyke.planner.placement import PoolCapacity
-from cardamomdyke.planner.planning import MAX_IDLE_WAIT_SECONDS
 from cardamomdyke.planner.progress import add_job
+from cardamomdyke.planner.relaxation import HEADROOM
 from cardamomdyke.planner.state import Job, PlannerState, Unit, make_units
 from cardamomdyke_standins.platform_server import StepPlan
 from tests.planner.world import POOL, World
@@ -188,4 +188,4 @@
         assert starts == []
     else:
         wait = starts[0] - submitted_at
-        assert MAX_IDLE_WAIT_SECONDS <= wait <= MAX_WAIT_SECONDS
+        assert HEADROOM.wait_seconds <= wait <= MAX_WAIT_SECONDS
