--- a/tests/planner/test_waits.py
+++ b/tests/planner/test_waits.py
@@ -6,7 +6,7 @@
 from cardamomdyke.model.orders import Shape, StepOrder, TaskId
 from cardamomdyke.model.queues import Account
 from cardamomdyke.model.servers import RunReport
-from cardamomdyke.planner import planning
+from cardamomdyke.planner import isolation, planning
 from cardamomdyke.planner.drafts import Draft
 from cardamomdyke.planner.placement import PoolCapacity
 from cardamomdyke.planner.polls import add_unknown_run
@@ -15,6 +15,7 @@
 from cardamomdyke_standins.platform_server import MAX_LEASE_SECONDS, StepPlan
 from tests.planner.crash_world import CrashWorld
 from tests.planner.test_planner import JOB, OTHER, SERVER, make_step
+from tests.planner.waiting import check_waits
 
 LASTING = StepPlan(1e6)
 # The platform counts work as lost that waits for longer beside idle servers.
@@ -228,3 +229,20 @@
         if count_running(world, JOB):
             break
     assert count_running(world, JOB) == 1
+
+
+def test_history_check_finds_a_gang_that_waits_without_limit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a check of the random histories that finds nothing."""
+    monkeypatch.setattr(isolation, "find_spread_step", lambda *_: None)
+    world = make_used_racks()
+    gang = make_step(7, 4, gang=True, rack_sensitive=True)
+    world.submit(JOB, [(gang, StepPlan(6.0, 7, gang=True))])
+    while not world.starts.get(TaskId(JOB, 0, 0, 0)):
+        world.run_for(0.1)
+    world.run_for(0.3)
+    crash_server_of(world, JOB)
+    world.run_for(20.0)
+    check_waits(world, 5.0)
+    assert [item.split(":")[0] for item in world.violations] == ["LOST"]
