Count the lease of a silent server as a wait of its units

Callers saw: a gang of a server that is gone starts again 2 s after the leases have expired, beside idle servers: 12.5 s without a run. Cause: two limited waits in turn: the wait for one rack began when the lease had ended. Evidence: test_gang_of_a_lost_server_does_not_wait_for_a_rack_after_the_lease before: started 12.52 s after the loss; the lease ends after 10.35 s. Change: release_members keeps since when the server was silent, and preferences count from then. Conclusion: such a gang prefers one rack only if one has room at once.

--- a/src/cardamomdyke/planner/attempts.py
+++ b/src/cardamomdyke/planner/attempts.py
@@ -47,7 +47,7 @@
         True if the client account's guarantee covers it.
     """
     unit.last_run += 1
-    unit.ready_since = 0.0
+    unit.ready_since = unit.silent_since = 0.0
     unit.pending_reason = unit.reported_reason = ""
     shape = job.find_step(unit).shape
     members = {}
--- a/src/cardamomdyke/planner/expiry.py
+++ b/src/cardamomdyke/planner/expiry.py
@@ -90,6 +90,7 @@
     server.unknown_runs.clear()
     for job, unit, member in holders:
         note_lost_run(state, job, unit, member, reason)
+        unit.silent_since = server.failing_since
         end_member(state, job, unit, member, EndKind.LAPSED, now)
 
 
--- a/src/cardamomdyke/planner/relaxation.py
+++ b/src/cardamomdyke/planner/relaxation.py
@@ -71,7 +71,11 @@
     bool
         True if the unit is to start without it.
     """
-    if not unit.ready_since or draft.now - unit.ready_since < preference.wait_seconds:
+    if not unit.ready_since:
+        return False
+    # The lease of a silent server was a wait too.
+    since = unit.silent_since or unit.ready_since
+    if draft.now - since < preference.wait_seconds:
         return False
     pool = job.record.pool
     if pool not in draft.used_shares:
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -166,6 +166,8 @@
         Earliest time of the next attempt.
     ended_at : float
         When its last attempt of this term ended; 0 before.
+    silent_since : float
+        Since when the server of its last run was silent, if its lease expired; else 0.
     ready_since : float
         Since when it waits only for resources; 0 if it does not.
     pending_reason : str
@@ -198,6 +200,7 @@
     failed_servers: set[str] = field(default_factory=set)
     not_before: float = 0.0
     ended_at: float = 0.0
+    silent_since: float = 0.0
     ready_since: float = 0.0
     pending_reason: str = ""
     reported_reason: str = ""
--- a/tests/planner/test_waits.py
+++ b/tests/planner/test_waits.py
@@ -8,6 +8,7 @@
 from cardamomdyke.model.servers import RunReport
 from cardamomdyke.planner import isolation, planning
 from cardamomdyke.planner.drafts import Draft
+from cardamomdyke.planner.leases import EXPIRY_MARGIN_SECONDS, MIN_CLOCK_RATE
 from cardamomdyke.planner.placement import PoolCapacity
 from cardamomdyke.planner.polls import add_unknown_run
 from cardamomdyke.planner.state import Job, Unit
@@ -231,6 +232,25 @@
     assert count_running(world, JOB) == 1
 
 
+def test_gang_of_a_lost_server_does_not_wait_for_a_rack_after_the_lease() -> None:
+    """Guards against two waits in turn, of which each is within its limit."""
+    world = make_used_racks()
+    gang = make_step(7, 4, gang=True, rack_sensitive=True)
+    world.submit(JOB, [(gang, StepPlan(60.0, 7, gang=True))])
+    world.run_for(5.0)
+    name = next(
+        name
+        for name, server in world.cluster.servers.items()
+        if TaskId(JOB, 0, 0, 0) in server.runs
+    )
+    lost_at = world.now
+    lose_server(world, name)
+    world.run_for(MAX_LEASE_SECONDS + 6.0)
+    first, second = world.starts[TaskId(JOB, 0, 0, 0)]
+    lease = MAX_LEASE_SECONDS / MIN_CLOCK_RATE + EXPIRY_MARGIN_SECONDS
+    assert first < lost_at + lease < second < lost_at + lease + 1.0
+
+
 def test_history_check_finds_a_gang_that_waits_without_limit(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
