--- a/src/cardamomdyke/planner/pending.py
+++ b/src/cardamomdyke/planner/pending.py
@@ -17,6 +17,8 @@
 REPORT_AFTER_SECONDS = 2.5
 # Reasons change with every planning pass on a busy pool.
 REPORT_PERIOD_SECONDS = 1.0
+# Lines of one report; the units that are left out come with the next one.
+MAX_LINES = 5
 # Servers named in one line.
 MAX_NAMED_SERVERS = 3
 
@@ -63,6 +65,7 @@
     if now - state.pending_reported_at < REPORT_PERIOD_SECONDS:
         return
     state.pending_reported_at = now
+    lines = 0
     for job in state.jobs.values():
         if job.is_final:
             continue
@@ -75,6 +78,9 @@
             if unit.reported_reason != reason:
                 unit.reported_reason = reason
                 note_pending(draft, job, unit, reason, since)
+                lines += 1
+                if lines == MAX_LINES:
+                    return
 
 
 def list_pending(
