Poll a server after an order in the simulation too

Cause: the control loop polls a server at once after a start or stop; the simulation waited for the pause of an idle server, up to 2 s, so suspect tasks took 1.9 s to outlive a start that takes 1.1 s in the daemon. Change: World.wake_poll.

--- a/tests/planner/world.py
+++ b/tests/planner/world.py
@@ -119,6 +119,7 @@
     recording: bool = False
     applied_records: int = 0
     polled: set[str] = field(default_factory=set)
+    due_polls: dict[str, int] = field(default_factory=dict)
     watched: set[str] = field(default_factory=set)
     start_calls: dict[SendStart, int] = field(default_factory=dict)
 
@@ -399,8 +400,10 @@
     def perform(self, planner: Planner, action: Action) -> None:
         if isinstance(action, SendStart):
             self.send_start(planner, action)
+            self.wake_poll(planner, action.server)
         elif isinstance(action, SendStop):
             self.send_stop(planner, action)
+            self.wake_poll(planner, action.server)
         elif isinstance(action, Note):
             self.notes.append(action)
 
@@ -573,6 +576,7 @@
     def poll(self, planner: Planner, name: str) -> None:
         """Poll a server, and schedule the next poll."""
         state = planner.state
+        planner.due_polls.pop(name, None)
         if not self.is_running(planner) or name not in state.servers:
             planner.polled.discard(name)
             return
@@ -594,7 +598,7 @@
                 pause = POLL_SECONDS if busy else IDLE_POLL_SECONDS
                 if server.processed_end > server.acknowledged:
                     pause = 2 * STORE_DELAY_SECONDS + STEP_PERIOD_SECONDS
-            self.schedule(pause, lambda: self.poll(planner, name))
+            self.schedule_poll(planner, name, pause)
 
         def execute() -> RunLists | None:
             if platform_server is None:
@@ -610,6 +614,22 @@
         timeout = order.wait_seconds + POLL_MARGIN_SECONDS
         self.call(planner, name, timeout, execute, handle_answer)
 
+    def schedule_poll(self, planner: Planner, name: str, pause: float) -> None:
+        """Schedule the next poll of a server, unless an earlier one comes first."""
+        number = next(self.sequence)
+        planner.due_polls[name] = number
+
+        def poll_if_due() -> None:
+            if planner.due_polls.get(name) == number:
+                self.poll(planner, name)
+
+        self.schedule(pause, poll_if_due)
+
+    def wake_poll(self, planner: Planner, name: str) -> None:
+        """Poll a server without its pause, as after an order in the control loop."""
+        if name in planner.due_polls and not planner.state.servers[name].failing_since:
+            self.schedule_poll(planner, name, 0.0)
+
     def is_store_reachable(self) -> bool:
         return self.planner.reaches_store and self.store_up
 
