--- a/src/cardamomdyke/planner/claims.py
+++ b/src/cardamomdyke/planner/claims.py
@@ -1,15 +1,18 @@
 """Reservations: capacity that is being freed for units and kept until they start."""
 
 from collections import Counter
+from collections.abc import Iterable
+from dataclasses import replace
 
 from cardamomdyke.model.orders import StepOrder
 from cardamomdyke.planner.attempts import abort_attempt
-from cardamomdyke.planner.crashes import is_suspect
+from cardamomdyke.planner.crashes import find_live_unit, is_suspect
 from cardamomdyke.planner.drafts import (
     Draft,
     clear_unplaceable,
     find_expected_capacity,
     find_pool_capacity,
+    find_server_capacity,
     find_victim_index,
     make_requirements,
     mark_stopping,
@@ -22,6 +25,7 @@
     take_capacity,
 )
 from cardamomdyke.planner.preemption import (
+    Preemption,
     Requester,
     Victim,
     VictimIndex,
@@ -47,7 +51,25 @@
             unit.reserved_servers = ()
         take_reservation(draft, pool_capacity, job, unit)
         if unit.reserved_servers and may_close_ahead(draft, job, unit):
-            close_reserved(draft, pool_capacity, job, unit)
+            close_reserved(draft, job, unit)
+
+
+def close_before_guaranteed(draft: Draft) -> None:
+    """Close the servers of waiting suspect units before guaranteed jobs are placed.
+
+    Long-running units may wait in a full pool, where guarantees go first.
+    """
+    for job_id, key in sorted(draft.state.suspect_units):
+        unit = find_live_unit(draft.state, job_id, key)
+        if unit is None or not unit.reserved_servers:
+            continue
+        job = draft.state.jobs[job_id]
+        by_name = find_pool_capacity(draft, job.record.pool).by_name
+        usable = all(name in by_name for name in unit.reserved_servers)
+        lasts = job.find_step(unit).long_running
+        ready = usable and not lasts and is_ready(job, unit, draft.now)
+        if ready and may_close_ahead(draft, job, unit):
+            close_reserved(draft, job, unit)
 
 
 def may_close_ahead(draft: Draft, job: Job, unit: Unit) -> bool:
@@ -61,14 +83,18 @@
     return may_relax(draft, job, unit, placed, ISOLATION)
 
 
-def close_reserved(
-    draft: Draft, pool_capacity: PoolCapacity, job: Job, unit: Unit
-) -> None:
+def close_reserved(draft: Draft, job: Job, unit: Unit) -> None:
     """Start nothing more on a unit's reserved servers, until they are released."""
-    names = tuple(set(unit.reserved_servers))
-    for name in names:
-        close_server(pool_capacity.by_name[name])
-    draft.closures[job.job_id, unit.key] = names
+    if (job.job_id, unit.key) in draft.closures:
+        return
+    close_servers(draft, job, unit.reserved_servers)
+    draft.closures[job.job_id, unit.key] = tuple(set(unit.reserved_servers))
+
+
+def close_servers(draft: Draft, job: Job, names: Iterable[str]) -> None:
+    """Start nothing more on some servers of a job's pool in this plan."""
+    for name in set(names):
+        close_server(find_server_capacity(draft, job.record.pool, name))
 
 
 def take_reservation(
@@ -107,11 +133,8 @@
     The unit starts in a later plan, once the capacity is free.
     """
     step = job.find_step(unit)
-    count = len(list_indices(step, unit))
-    placed = count_placed(job, unit) if step.server_limit else Counter()
-    guaranteed = job.job_id in draft.guaranteed
     expected = find_expected_capacity(draft, pool_capacity)
-    requester = Requester(job.record.priority, guaranteed, step.long_running)
+    requester = make_requester(draft, job, unit)
     if not reclaim_allowance(draft, requester, job, unit):
         unit.reserved_servers = ()
         return False
@@ -120,20 +143,11 @@
         take_reservation(draft, pool_capacity, job, unit)
         return True
     unit.reserved_servers = ()
-    requirements = make_requirements(job.record.pool, step)
-    cacheable = not step.server_limit
-    if cacheable and count >= draft.unreclaimable.get(
-        (requester, requirements), count + 1
-    ):
-        return False
-    victim_index = find_victim_index(draft, requester)
-    expected = find_expected_capacity(draft, pool_capacity)
-    preemption = find_preemption(
-        expected, victim_index, step, count, placed, unit.avoided_servers
-    )
+    preemption = find_unit_preemption(draft, pool_capacity, job, unit, step)
+    if preemption is None and step.rack_sensitive and must_start(requester):
+        spread_step = replace(step, rack_sensitive=False)
+        preemption = find_unit_preemption(draft, pool_capacity, job, unit, spread_step)
     if preemption is None:
-        if cacheable:
-            draft.unreclaimable[requester, requirements] = count
         return False
     unit.reserved_servers = tuple(preemption.names)
     take_reservation(draft, pool_capacity, job, unit)
@@ -142,6 +156,44 @@
     return True
 
 
+def must_start(requester: Requester) -> bool:
+    """Return whether a unit has to start soon however full its pool is."""
+    return requester.guaranteed or requester.is_long_running
+
+
+def find_unit_preemption(
+    draft: Draft, pool_capacity: PoolCapacity, job: Job, unit: Unit, step: StepOrder
+) -> Preemption | None:
+    """Choose what to preempt for a unit, unless as many tasks are known not to fit."""
+    requester = make_requester(draft, job, unit)
+    requirements = make_requirements(job.record.pool, step)
+    count = len(list_indices(step, unit))
+    cacheable = not step.server_limit
+    if cacheable and count >= draft.unreclaimable.get(
+        (requester, requirements), count + 1
+    ):
+        return None
+    placed = count_placed(job, unit) if step.server_limit else Counter()
+    preemption = find_preemption(
+        find_expected_capacity(draft, pool_capacity),
+        find_victim_index(draft, requester),
+        step,
+        count,
+        placed,
+        unit.avoided_servers,
+    )
+    if preemption is None and cacheable:
+        draft.unreclaimable[requester, requirements] = count
+    return preemption
+
+
+def make_requester(draft: Draft, job: Job, unit: Unit) -> Requester:
+    """Return the properties of a unit that decide what it may preempt."""
+    guaranteed = job.job_id in draft.guaranteed
+    is_long_running = job.find_step(unit).long_running
+    return Requester(job.record.priority, guaranteed, is_long_running)
+
+
 def preempt(draft: Draft, job: Job, victim: Victim) -> None:
     """Stop an attempt so that a unit of `job` can start."""
     state = draft.state
--- a/src/cardamomdyke/planner/drafts.py
+++ b/src/cardamomdyke/planner/drafts.py
@@ -10,6 +10,7 @@
     ServerCapacity,
     copy_capacity,
     make_pool_capacity,
+    make_suspended_capacity,
     take_capacity,
 )
 from cardamomdyke.planner.preemption import (
@@ -73,6 +74,8 @@
         Attempts that each kind of requester may preempt.
     stopping : dict of str to list of (Shape, int), or None
         Tasks that are being stopped, by server; None until first used.
+    suspended : dict of str to PoolCapacity
+        Free capacity on suspended servers by pool, measured at first use.
     used_shares : dict of str to float
         Used share of each pool, measured at first use.
     rooms : dict of Requirements to int
@@ -95,6 +98,7 @@
     )
     victim_indexes: dict[Requester, VictimIndex] = field(default_factory=dict)
     stopping: dict[str, list[tuple[Shape, int]]] | None = None
+    suspended: dict[str, PoolCapacity] = field(default_factory=dict)
     used_shares: dict[str, float] = field(default_factory=dict)
     rooms: dict[Requirements, int] = field(default_factory=dict)
     closures: dict[tuple[str, UnitKey], tuple[str, ...]] = field(default_factory=dict)
@@ -113,6 +117,20 @@
     return draft.capacities[pool]
 
 
+def find_capacity_with_suspended(draft: Draft, pool: str) -> PoolCapacity:
+    """Return the free capacity of a pool, also on its suspended servers."""
+    if pool not in draft.suspended:
+        draft.suspended[pool] = make_suspended_capacity(draft.state, pool, draft.now)
+    usable = find_pool_capacity(draft, pool)
+    return PoolCapacity({**draft.suspended[pool].by_name, **usable.by_name})
+
+
+def find_server_capacity(draft: Draft, pool: str, name: str) -> ServerCapacity:
+    """Return the free capacity of a usable or suspended server of a pool."""
+    by_name = find_pool_capacity(draft, pool).by_name
+    return by_name[name] if name in by_name else draft.suspended[pool].by_name[name]
+
+
 def find_headroom(draft: Draft, pool: str) -> Headroom | None:
     """Return the headroom of a pool, computed for the first unit of batch work."""
     if pool not in draft.headrooms:
--- a/src/cardamomdyke/planner/isolation.py
+++ b/src/cardamomdyke/planner/isolation.py
@@ -6,19 +6,18 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
 
 from cardamomdyke.planner.crashes import outlived_start
-from cardamomdyke.planner.drafts import Draft
+from cardamomdyke.planner.drafts import Draft, find_capacity_with_suspended
 from cardamomdyke.planner.placement import (
     PoolCapacity,
     choose_servers,
-    close_server,
 )
 from cardamomdyke.planner.seeking import (
     count_placed,
     filter_data_rack,
     find_spread_step,
+    may_use_suspended,
 )
 from cardamomdyke.planner.state import (
     Job,
@@ -44,12 +43,27 @@
     which would hold for other units too.
     """
     step = job.find_step(unit)
-    count = len(list_indices(step, unit))
     placed = count_placed(job, unit) if step.server_limit else Counter()
+    names = choose_settled_servers(draft, pool_capacity, job, unit, placed)
+    if names is None and may_use_suspended(draft, job, unit, placed):
+        capacity = find_capacity_with_suspended(draft, job.record.pool)
+        names = choose_settled_servers(draft, capacity, job, unit, placed)
+    return names
+
+
+def choose_settled_servers(
+    draft: Draft,
+    pool_capacity: PoolCapacity,
+    job: Job,
+    unit: Unit,
+    placed: Counter[str],
+) -> list[str] | None:
+    """Choose servers on which every run has outlived its start, idle ones first."""
+    step = job.find_step(unit)
+    count = len(list_indices(step, unit))
     settled = filter_servers(pool_capacity, find_settled(draft))
     idle = filter_servers(settled, find_idle(draft.state))
-    steps = [step, find_spread_step(draft, job, unit, placed)]
-    for allowed_step in steps:
+    for allowed_step in (step, find_spread_step(draft, job, unit, placed)):
         if allowed_step is None:
             continue
         for candidates in (idle, settled):
@@ -100,9 +114,3 @@
         and outlived_start(state.limits, unit, unit.attempt, member)
         for _, unit, member in list_holders(state, server)
     )
-
-
-def close_servers(pool_capacity: PoolCapacity, names: Iterable[str]) -> None:
-    """Keep the rest of a plan from starting anything on some servers."""
-    for name in set(names):
-        close_server(pool_capacity.by_name[name])
--- a/src/cardamomdyke/planner/placement.py
+++ b/src/cardamomdyke/planner/placement.py
@@ -95,16 +95,21 @@
 
     Whether it is suspended is left to the caller.
     """
-    entry = server.entry
-    if entry.pool != pool or not server.listed or entry.draining:
-        return False
-    if entry.failure_domain in state.evacuated:
+    if not is_in_service(state, server, pool):
         return False
     answering = not server.failing_since and server.reading is not None
     recent = now - server.last_contact_at <= MAX_CONTACT_AGE_SECONDS
     return answering and recent and server.starts_paused_until <= now
 
 
+def is_in_service(state: PlannerState, server: Server, pool: str) -> bool:
+    """Return whether a pool lists a server that is neither draining nor evacuated."""
+    entry = server.entry
+    if entry.pool != pool or not server.listed or entry.draining:
+        return False
+    return entry.failure_domain not in state.evacuated
+
+
 def count_fits(capacity: ServerCapacity | Shape, shape: Shape) -> int:
     """Return how many tasks of a shape fit; 0 for a shape without requirements."""
     # Called for every server and unit of a plan, so it allocates no list.
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -7,13 +7,22 @@
 from cardamomdyke.planner.attempts import abort_attempt, create_attempt
 from cardamomdyke.planner.claims import (
     check_server_limit,
+    close_before_guaranteed,
+    close_servers,
     hold_reservations,
+    make_requester,
     may_close_ahead,
+    reclaim_allowance,
     reclaim_capacity,
     release_reservation,
 )
 from cardamomdyke.planner.crashes import is_suspect
-from cardamomdyke.planner.drafts import Draft, find_headroom, find_pool_capacity
+from cardamomdyke.planner.drafts import (
+    Draft,
+    find_headroom,
+    find_pool_capacity,
+    find_server_capacity,
+)
 from cardamomdyke.planner.headroom import (
     Headroom,
     check_headroom,
@@ -24,7 +33,6 @@
 from cardamomdyke.planner.isolation import (
     ISOLATION_WAIT_SECONDS,
     choose_isolated_servers,
-    close_servers,
 )
 from cardamomdyke.planner.occurrences import update_occurrences
 from cardamomdyke.planner.pending import PendingReason, report_pending
@@ -34,7 +42,7 @@
     measure_allowances,
     use_allowance,
 )
-from cardamomdyke.planner.relaxation import HEADROOM, may_relax
+from cardamomdyke.planner.relaxation import HEADROOM, forget_measures, may_relax
 from cardamomdyke.planner.seeking import choose_unit_servers, count_placed
 from cardamomdyke.planner.state import (
     Job,
@@ -75,6 +83,7 @@
     # capacity that a guaranteed one has just reclaimed. Capacity reserved for a
     # guaranteed job goes to no other job, that of another urgent job to no job
     # without a guarantee.
+    close_before_guaranteed(draft)
     for group in (covered, others):
         for plan_job in (hold_reservations, place_job):
             for job in group:
@@ -204,13 +213,15 @@
             return
     if not check_quota(draft, job, unit):
         unit.reserved_servers = ()
+        if job.is_urgent or job.find_step(unit).long_running:
+            reclaim_allowance(draft, make_requester(draft, job, unit), job, unit)
         return
     unit.pending_reason = PendingReason.ISOLATION
     names = choose_isolated_servers(draft, pool_capacity, job, unit)
     if names is not None:
         unit.reserved_servers = ()
-        start_unit(draft, pool_capacity, job, unit, names)
-        close_servers(pool_capacity, names)
+        start_unit(draft, job, unit, names)
+        close_servers(draft, job, names)
     elif draft.now - unit.ready_since >= ISOLATION_WAIT_SECONDS:
         free_servers(draft, pool_capacity, job, unit)
 
@@ -226,11 +237,11 @@
     names: Sequence[str] = unit.reserved_servers
     may_reclaim = job.is_urgent or step.long_running
     if may_reclaim and reclaim_capacity(draft, pool_capacity, job, unit):
-        close_servers(pool_capacity, unit.reserved_servers)
+        close_servers(draft, job, unit.reserved_servers)
         return
     if not names or not fits_all(pool_capacity, names, step.shape):
         names = choose_unit_servers(draft, pool_capacity, job, unit) or ()
-    close_servers(pool_capacity, names)
+    close_servers(draft, job, names)
     unit.reserved_servers = ()
     if may_close_ahead(draft, job, unit):
         unit.reserved_servers = tuple(names)
@@ -300,7 +311,8 @@
         if names is None:
             continue
         for name in names:
-            take_capacity(pool_capacity.by_name[name], job.find_step(unit).shape)
+            capacity = find_server_capacity(draft, job.record.pool, name)
+            take_capacity(capacity, job.find_step(unit).shape)
         abort_attempt(draft.state, job, unit, "its server is draining", draft.now)
 
 
@@ -321,7 +333,7 @@
         )
     if names is None:
         return False
-    start_unit(draft, pool_capacity, job, unit, names)
+    start_unit(draft, job, unit, names)
     return True
 
 
@@ -336,18 +348,14 @@
     return False
 
 
-def start_unit(
-    draft: Draft,
-    pool_capacity: PoolCapacity,
-    job: Job,
-    unit: Unit,
-    names: list[str],
-) -> None:
+def start_unit(draft: Draft, job: Job, unit: Unit, names: list[str]) -> None:
     """Create an attempt of a unit on these servers, and subtract what it takes."""
     step = job.find_step(unit)
     indices = list_indices(step, unit)
+    pool = job.record.pool
     for name in names:
-        take_capacity(pool_capacity.by_name[name], step.shape)
+        take_capacity(find_server_capacity(draft, pool, name), step.shape)
+    forget_measures(draft, pool)
     if draft.settled is not None:
         draft.settled.difference_update(names)
     use_allowance(draft.allowances, job.record.account, step.shape, len(indices))
--- a/src/cardamomdyke/planner/relaxation.py
+++ b/src/cardamomdyke/planner/relaxation.py
@@ -3,14 +3,14 @@
 One rack for a gang, capacity that is kept for other work, or a server apart from other
 starts are preferences: each may delay a start, none may prevent it. The platform counts
 work as lost that waits 3 s while its pool has room for it twice over and is used to
-less than half.
+less than half, and a long-running task however full the pool is.
 """
 
 from collections import Counter
 from dataclasses import dataclass
 
 from cardamomdyke.planner.drafts import Draft, make_requirements
-from cardamomdyke.planner.placement import count_fits
+from cardamomdyke.planner.placement import count_fits, is_in_service
 from cardamomdyke.planner.polls import measure_free_capacity
 from cardamomdyke.planner.state import Job, PlannerState, Unit, list_indices
 
@@ -43,7 +43,7 @@
 # Servers that are not suspended.
 SOUND_SERVERS = Preference(2.0, 0.52)
 # Servers on which nothing else of higher priority has just started.
-ISOLATION = Preference(2.0, 0.52)
+ISOLATION = Preference(1.0, 0.52)
 # Capacity that is kept for urgent jobs and waiting gangs.
 HEADROOM = Preference(1.5, 0.6)
 
@@ -77,6 +77,8 @@
     since = unit.silent_since or unit.ready_since
     if draft.now - since < preference.wait_seconds:
         return False
+    if job.find_step(unit).long_running:
+        return True
     pool = job.record.pool
     if pool not in draft.used_shares:
         draft.used_shares[pool] = measure_used_share(draft.state, pool)
@@ -87,11 +89,11 @@
 
 
 def measure_used_share(state: PlannerState, pool: str) -> float:
-    """Return the used share of the most used resource of a pool's listed servers."""
+    """Return the used share of a pool's most used resource, on servers in service."""
     used = [0, 0, 0]
     total = [0, 0, 0]
     for server in state.servers.values():
-        if not server.listed or server.entry.pool != pool:
+        if not is_in_service(state, server, pool):
             continue
         capacity = server.entry.capacity
         free = measure_free_capacity(server)
@@ -113,12 +115,9 @@
         return draft.rooms[requirements]
     room = 0
     for name, server in draft.state.servers.items():
-        entry = server.entry
-        if entry.pool != job.record.pool or not server.listed or entry.draining:
+        if not is_in_service(draft.state, server, job.record.pool):
             continue
-        if entry.failure_domain in draft.state.evacuated:
-            continue
-        if step.required_label and step.required_label not in entry.labels:
+        if step.required_label and step.required_label not in server.entry.labels:
             continue
         fits = count_fits(measure_free_capacity(server), step.shape)
         if step.server_limit:
@@ -127,3 +126,9 @@
     if not step.server_limit:
         draft.rooms[requirements] = room
     return room
+
+
+def forget_measures(draft: Draft, pool: str) -> None:
+    """Measure a pool again at the next use, after a start in it."""
+    draft.used_shares.pop(pool, None)
+    draft.rooms.clear()
--- a/src/cardamomdyke/planner/seeking.py
+++ b/src/cardamomdyke/planner/seeking.py
@@ -4,12 +4,12 @@
 from dataclasses import replace
 
 from cardamomdyke.model.orders import StepOrder
-from cardamomdyke.planner.drafts import Draft, make_requirements
-from cardamomdyke.planner.placement import (
-    PoolCapacity,
-    choose_servers,
-    make_suspended_capacity,
+from cardamomdyke.planner.drafts import (
+    Draft,
+    find_capacity_with_suspended,
+    make_requirements,
 )
+from cardamomdyke.planner.placement import PoolCapacity, choose_servers
 from cardamomdyke.planner.relaxation import ONE_RACK, SOUND_SERVERS, may_relax
 from cardamomdyke.planner.state import Job, Unit, list_indices
 
@@ -44,34 +44,27 @@
         found = choose_servers(
             pool_capacity, spread_step, count, placed, unit.avoided_servers
         )
-    if found is None and may_relax(draft, job, unit, placed, SOUND_SERVERS):
-        return choose_with_suspended(
-            draft, pool_capacity, job, unit, placed, spread_step or step
+    if found is None and may_use_suspended(draft, job, unit, placed):
+        return choose_servers(
+            find_capacity_with_suspended(draft, job.record.pool),
+            spread_step or step,
+            count,
+            placed,
+            unit.avoided_servers,
         )
     return found
 
 
-def choose_with_suspended(
-    draft: Draft,
-    pool_capacity: PoolCapacity,
-    job: Job,
-    unit: Unit,
-    placed: Counter[str],
-    step: StepOrder,
-) -> list[str] | None:
-    """Choose servers for a unit that does not fit without suspended ones.
+def may_use_suspended(draft: Draft, job: Job, unit: Unit, placed: Counter[str]) -> bool:
+    """Return whether a unit that fits nowhere else may take suspended servers.
 
-    Those that are chosen are added to the pool's usable capacity in this pass.
+    Its last attempt is kept for a server that is not known to fail.
     """
-    suspended = make_suspended_capacity(draft.state, job.record.pool, draft.now)
-    by_name = {**suspended.by_name, **pool_capacity.by_name}
-    count = len(list_indices(step, unit))
-    found = choose_servers(
-        PoolCapacity(by_name), step, count, placed, unit.avoided_servers
-    )
-    for name in found or ():
-        pool_capacity.by_name.setdefault(name, by_name[name])
-    return found
+    step = job.find_step(unit)
+    attempts_left = job.record.attempt_limit - len(unit.failed_runs)
+    if attempts_left < 2 and not step.long_running:
+        return False
+    return may_relax(draft, job, unit, placed, SOUND_SERVERS)
 
 
 def find_spread_step(
@@ -133,9 +126,16 @@
 
 
 def count_placed(job: Job, unit: Unit) -> Counter[str]:
-    """Count the tasks of a unit's step and occurrence on each server."""
+    """Count the tasks of a unit's step and occurrence on each server.
+
+    Reservations of its other units count, since two of them would wait for each other.
+    """
     counts: Counter[str] = Counter()
     for other in job.units.values():
-        if other.key[:2] == unit.key[:2] and other.attempt is not None:
+        if other.key[:2] != unit.key[:2]:
+            continue
+        if other.attempt is not None:
             counts.update(member.server for member in other.attempt.members.values())
+        elif other is not unit:
+            counts.update(other.reserved_servers)
     return counts
