Refuse an example whose ports are taken

Cause: a second 'scripts/example federation' did not check its ports. Its own daemons could not listen, the daemons of the first one answered in their place, and it sent its tables to them; it ended in a traceback (HTTPError 409). Change: before any process starts, the example tries to bind each of its addresses. If one is taken it names it and the remedy, and exits with code 1. Conclusion: two examples that start within the same second can still both pass the check.

--- a/src/cardamomdyke_standins/deployment.py
+++ b/src/cardamomdyke_standins/deployment.py
@@ -375,6 +375,25 @@
     return {**example, "vms": vms, "relay": decode(encode(plan))}
 
 
+def find_taken_addresses(example: dict[str, Any]) -> list[str]:
+    """Return the addresses of an example that its processes cannot bind."""
+    addresses = sorted(set(re.findall(ADDRESS_PATTERN, encode(example).decode())))
+    return [address for address in addresses if not check_free(address)]
+
+
+def check_free(address: str) -> bool:
+    """Return whether a process could listen on ``host:port``."""
+    host, _, port = address.rpartition(":")
+    with socket.socket() as probe:
+        # As the processes do: connections that ended lately keep no port taken.
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, int(port)))
+        except OSError:
+            return False
+    return True
+
+
 def check_port(host: str, port: int) -> bool:
     """Return True when a TCP connection to a port succeeds."""
     with socket.socket() as probe:
--- a/src/cardamomdyke_standins/example.py
+++ b/src/cardamomdyke_standins/example.py
@@ -10,8 +10,10 @@
 from fire import Fire
 from msgspec.json import decode, encode
 
+from cardamomdyke.model.errors import Problem, ProblemKind
 from cardamomdyke_standins.deployment import (
     Deployment,
+    find_taken_addresses,
     move_to_free_ports,
     read_example,
     run_deployment,
@@ -19,6 +21,7 @@
 )
 
 REQUESTS_PER_ACCOUNT = 5
+EXIT_REFUSED = 1
 
 
 def send_requests(deployment: Deployment) -> int:
@@ -77,6 +80,17 @@
     return len(lines)
 
 
+def find_port_problem(example: dict[str, Any]) -> Problem | None:
+    """Return the problem of an example whose ports are not free."""
+    taken = find_taken_addresses(example)
+    if not taken:
+        return None
+    others = f" (and {len(taken) - 1} more of its addresses)" if taken[1:] else ""
+    remedy = "stop the deployment that uses it, or add --free_ports"
+    message = f"{taken[0]} is in use{others}"
+    return Problem(ProblemKind.INVALID_SETTING, message, remedy)
+
+
 def wait_for_interrupt(deployment: Deployment) -> None:
     """Keep the deployment running until Ctrl-C."""
     vms = deployment.example["vms"]
@@ -113,6 +127,11 @@
     content = read_example(root / "examples" / f"{example}.json")
     if free_ports:
         content = move_to_free_ports(content)
+    problem = find_port_problem(content)
+    if problem is not None:
+        text = f"{problem.kind}: {problem.message}; {problem.remedy}"
+        print(text, file=sys.stderr)
+        sys.exit(EXIT_REFUSED)
     directory = Path(logs or tempfile.mkdtemp(prefix="cardamomdyke-"))
     command = [sys.executable, binary] if binary else None
     with run_deployment(content, directory, command) as deployment:
@@ -129,7 +148,7 @@
         codes = deployment.stop_all()
         print(f"daemons stopped with exit codes {sorted(set(codes.values()))}")
     if final["state"] != "finished" or set(codes.values()) != {0}:
-        sys.exit(1)
+        sys.exit(EXIT_REFUSED)
 
 
 if __name__ == "__main__":
