Stop the processes of an example that is ended by a signal

Cause: SIGTERM and SIGHUP ended the example's process at once, so its daemons and stand-ins ran on. A daemon that did not stop in time had the same effect: the timeout left the other processes running. Change: SIGTERM and SIGHUP end the run as Ctrl-C does; later signals are ignored during the cleanup, which also kills a child that a signal kept from being recorded. stop_all kills all processes before it reports a timeout. Conclusion: SIGKILL of the example still leaves its processes; nothing can handle it.

--- a/src/cardamomdyke_standins/deployment.py
+++ b/src/cardamomdyke_standins/deployment.py
@@ -179,21 +179,27 @@
         return decode(reply) if reply is not None else None
 
     def stop_all(self) -> dict[str, int]:
-        """Stop daemons, then stand-ins, and return the daemons' exit codes."""
+        """Stop daemons, then stand-ins, and return the daemons' exit codes.
+
+        Raises
+        ------
+        TimeoutExpired
+            When a daemon did not stop in time; all processes are killed then.
+        """
         names = [vm["vm"] for vm in self.example["vms"] if vm["vm"] in self.processes]
-        for name in names:
-            # A stopped process does not handle SIGTERM.
-            self.processes[name].send_signal(signal.SIGCONT)
-            self.processes[name].terminate()
-        codes = {
-            name: self.processes[name].wait(STOP_TIMEOUT_SECONDS) for name in names
-        }
-        for name, process in self.processes.items():
-            if name not in codes:
+        try:
+            for name in names:
+                # A stopped process does not handle SIGTERM.
+                self.processes[name].send_signal(signal.SIGCONT)
+                self.processes[name].terminate()
+            return {
+                name: self.processes[name].wait(STOP_TIMEOUT_SECONDS) for name in names
+            }
+        finally:
+            for process in self.processes.values():
                 process.kill()
                 process.wait()
-        self.processes.clear()
-        return codes
+            self.processes.clear()
 
 
 def list_machines(example: dict[str, Any]) -> list[dict[str, str]]:
--- a/src/cardamomdyke_standins/example.py
+++ b/src/cardamomdyke_standins/example.py
@@ -1,14 +1,17 @@
 """Runs an example deployment with short requests and a gang."""
 
+import signal
 import sys
 import tempfile
 import time
 from contextlib import suppress
 from pathlib import Path
+from types import FrameType
 from typing import Any
 
 from fire import Fire
 from msgspec.json import decode, encode
+from psutil import Process, wait_procs
 
 from cardamomdyke.model.errors import Problem, ProblemKind
 from cardamomdyke_standins.deployment import (
@@ -22,6 +25,8 @@
 
 REQUESTS_PER_ACCOUNT = 5
 EXIT_REFUSED = 1
+EXIT_INTERRUPTED = 130
+STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 
 
 def send_requests(deployment: Deployment) -> int:
@@ -80,6 +85,27 @@
     return len(lines)
 
 
+def interrupt(number: int, frame: FrameType | None) -> None:
+    """Handle a signal to stop; later ones do not disturb the cleanup.
+
+    Raises
+    ------
+    KeyboardInterrupt
+        Always, so that every signal ends the run as Ctrl-C does.
+    """
+    for stop_signal in STOP_SIGNALS:
+        signal.signal(stop_signal, signal.SIG_IGN)
+    raise KeyboardInterrupt
+
+
+def kill_children() -> None:
+    """Kill processes that a signal kept the deployment from recording."""
+    children = Process().children(recursive=True)
+    for child in children:
+        child.kill()
+    wait_procs(children)
+
+
 def find_port_problem(example: dict[str, Any]) -> Problem | None:
     """Return the problem of an example whose ports are not free."""
     taken = find_taken_addresses(example)
@@ -92,7 +118,7 @@
 
 
 def wait_for_interrupt(deployment: Deployment) -> None:
-    """Keep the deployment running until Ctrl-C."""
+    """Keep the deployment running until Ctrl-C or another signal to stop."""
     vms = deployment.example["vms"]
     addresses = ", ".join(vm["caller_address"] for vm in vms)
     print(f"serving callers on {addresses}; Ctrl-C stops", flush=True)
@@ -121,8 +147,10 @@
     free_ports : bool
         Use free ports, so that runs do not conflict.
     keep : bool
-        Keep serving until Ctrl-C.
+        Keep serving until Ctrl-C or SIGTERM.
     """
+    for stop_signal in STOP_SIGNALS:
+        signal.signal(stop_signal, interrupt)
     root = Path(__file__).parents[2]
     content = read_example(root / "examples" / f"{example}.json")
     if free_ports:
@@ -152,4 +180,9 @@
 
 
 if __name__ == "__main__":
-    Fire(main)
+    try:
+        Fire(main)
+    except KeyboardInterrupt:
+        sys.exit(EXIT_INTERRUPTED)
+    finally:
+        kill_children()
