Send the request id with every reply to a caller

Cause: the handlers set the header Request-Id before an error, and tornado clears all headers before it writes one. Change: the id is set with the default headers, which are set again after a clear. Figures: test_unknown_method_is_refused fails before (no header) and passes after. Conclusion: the caller of an unexpected error can name its request.

--- a/src/cardamomdyke/daemon/callers.py
+++ b/src/cardamomdyke/daemon/callers.py
@@ -39,6 +39,7 @@
 
     node: Node
     body_timer: object = None
+    request_id: str = ""
 
     def initialize(self, node: Node, **components: object) -> None:
         """Store the shared state and the route's components."""
@@ -47,10 +48,13 @@
         for name, component in components.items():
             setattr(self, name, component)
 
-    def prepare(self) -> None:
-        """Assign a request id, count the request and limit its body."""
-        self.request_id = uuid4().hex
+    def set_default_headers(self) -> None:
+        """Assign a request id once, and send it with every reply."""
+        self.request_id = self.request_id or uuid4().hex
         self.set_header("Request-Id", self.request_id)
+
+    def prepare(self) -> None:
+        """Count the request and limit its body."""
         super().prepare()
         self.body_chunks: list[bytes] = []
         self.body_bytes = 0
--- /dev/null
+++ b/tests/processes/test_refusals.py
@@ -0,0 +1,129 @@
+"""Typed refusals of oversized and misdirected requests."""
+
+import socket
+from collections.abc import Iterator
+from dataclasses import dataclass
+from http.client import HTTPResponse
+from typing import Any
+
+import pytest
+from msgspec.json import decode
+
+from cardamomdyke_standins.deployment import (
+    keep_failure_domain,
+    move_to_free_ports,
+    read_example,
+    run_deployment,
+    shrink_example,
+)
+from tests.processes.conftest import ROOT
+
+pytestmark = pytest.mark.processes
+TIMEOUT_SECONDS = 30.0
+JOB_ID = "00000000000000a1"
+
+
+@dataclass(frozen=True)
+class Target:
+    """A daemon's interface for callers, and a valid path with its headers.
+
+    Attributes
+    ----------
+    address : str
+        ``host:port``.
+    path : str
+        Path that takes a body.
+    headers : dict of str to str
+        Headers of a valid request.
+    fields : frozenset of str
+        Fields of each refusal's JSON.
+    """
+
+    address: str
+    path: str
+    headers: dict[str, str]
+    fields: frozenset[str]
+
+
+@dataclass(frozen=True)
+class Reply:
+    """Status, headers and body of a reply."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def read_problem(self) -> dict[str, Any]:
+        assert self.headers["Content-Type"].startswith("application/json")
+        problem: dict[str, Any] = decode(self.body)
+        return problem
+
+
+@pytest.fixture(scope="module")
+def product(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Target]:
+    """Run the product's own daemon with one backend server."""
+    example = read_example(ROOT / "examples" / "federation.json")
+    example = keep_failure_domain(shrink_example(example, 1, 1), "gent")
+    directory = tmp_path_factory.mktemp("product")
+    with run_deployment(move_to_free_ports(example), directory) as deployment:
+        yield Target(
+            deployment.example["vms"][0]["caller_address"],
+            "/v1/services/order-desk/requests",
+            {"Host": "x", "Client-Account": "koffie-invoer"},
+            frozenset({"outcome", "kind", "message", "remedy"}),
+        )
+
+
+@pytest.fixture(params=["product"])
+def target(request: pytest.FixtureRequest) -> Target:
+    found: Target = request.getfixturevalue(request.param)
+    return found
+
+
+def connect(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    return socket.create_connection((host, int(port)), timeout=TIMEOUT_SECONDS)
+
+
+def make_head(target: Target, **changes: str) -> bytes:
+    """Return the head of a POST; ``method`` and ``path`` replace those of the target.
+
+    Other changes are headers, with underscores for hyphens.
+    """
+    method = changes.pop("method", "POST")
+    path = changes.pop("path", target.path)
+    added = {name.replace("_", "-"): value for name, value in changes.items()}
+    lines = [f"{name}: {value}" for name, value in {**target.headers, **added}.items()]
+    return "\r\n".join([f"{method} {path} HTTP/1.1", *lines, "", ""]).encode()
+
+
+def read_reply(connection: socket.socket) -> Reply:
+    response = HTTPResponse(connection)
+    response.begin()
+    return Reply(response.status, dict(response.getheaders()), response.read())
+
+
+def send(target: Target, body: bytes = b"", **changes: str) -> Reply:
+    """Send a whole request, and only then read the reply."""
+    if "Transfer_Encoding" not in changes:
+        changes.setdefault("Content_Length", str(len(body)))
+    with connect(target.address) as connection:
+        connection.sendall(make_head(target, **changes) + body)
+        return read_reply(connection)
+
+
+def check_refusal(target: Target, reply: Reply, status: int) -> dict[str, Any]:
+    assert reply.status == status, reply
+    problem = reply.read_problem()
+    assert set(problem) == target.fields
+    assert all(problem.values())
+    if "outcome" in target.fields:
+        assert reply.headers["Outcome"] == problem["outcome"] == "not_run"
+        assert reply.headers["Request-Id"]
+    return problem
+
+
+def test_unknown_method_is_refused(target: Target) -> None:
+    """Guards against an HTML page where callers expect JSON."""
+    for method in ("FETCH", "PATCH"):
+        check_refusal(target, send(target, method=method), 405)
