Refuse long headers and large bodies while a caller still sends

Cause: tornado closes a connection without a reply when the headers are over 65,536 bytes. A body over the limit was read to its end before its 413, and one that declares over 64 times the limit had its connection reset. Change: the server for callers answers 431 (headers_too_large), and the handlers answer 413 as soon as the declared length or the received bytes are over the limit. The connection is then closed for writing only; up to 64 MiB of input are read and dropped for up to 10 s, so that the caller can read the reply. Conclusion: a caller who sends more than the bound may still lose the reply if it reads only after sending. Malformed HTTP still gets tornado's bare 400.

--- a/src/cardamomdyke/daemon/app.py
+++ b/src/cardamomdyke/daemon/app.py
@@ -33,6 +33,7 @@
     TablesHandler,
 )
 from cardamomdyke.daemon.planner import Planner
+from cardamomdyke.daemon.replies import make_header_refusal
 from cardamomdyke.daemon.reports import (
     SettingsHandler,
     StatusHandler,
@@ -46,6 +47,7 @@
 from cardamomdyke.observability.counters import make_counters
 from cardamomdyke.observability.events import Timeline
 from cardamomdyke.protocol.client import PeerClient
+from cardamomdyke.protocol.connections import start_caller_server
 from cardamomdyke.protocol.gen.ttypes import (
     ConfigurationCall,
     DirectOrder,
@@ -56,8 +58,8 @@
 from cardamomdyke.protocol.server import make_peer_application
 
 DRAIN_CHECK_PERIOD_SECONDS = 0.05
-# Handlers refuse a large body with a typed reply, and a forwarded request is longer
-# than its body, so the server itself accepts this multiple of the limit.
+# A forwarded request is longer than its body, so the server for other VMs accepts
+# this multiple of the limit.
 BODY_LIMIT_FACTOR = 64
 # Idle connections and those with incomplete headers are closed after this.
 HEADER_TIMEOUT_SECONDS = 20.0
@@ -203,9 +205,15 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
+    caller_host, caller_port = split_address(settings.caller_address)
     servers = [
-        start_server(
-            make_caller_application(components), settings.caller_address, settings
+        start_caller_server(
+            make_caller_application(components),
+            caller_host,
+            caller_port,
+            make_header_refusal,
+            idle_timeout_seconds=HEADER_TIMEOUT_SECONDS,
+            body_timeout_seconds=MAX_BODY_SECONDS,
         ),
         start_server(
             make_peer_server(components),
@@ -246,7 +254,7 @@
 def start_server(
     application: Application, address: str, settings: Settings
 ) -> HTTPServer:
-    """Serve an application on ``host:port``."""
+    """Serve an application for other VMs on ``host:port``."""
     host, port = split_address(address)
     server = HTTPServer(
         application,
--- a/src/cardamomdyke/daemon/callers.py
+++ b/src/cardamomdyke/daemon/callers.py
@@ -7,7 +7,6 @@
 from expression import Error, Ok, Result
 from msgspec.json import decode, encode
 from tornado.ioloop import IOLoop
-from tornado.web import HTTPError, stream_request_body
 
 from cardamomdyke.daemon.coordinator import Coordinator
 from cardamomdyke.daemon.jobs import JobManager
@@ -17,7 +16,7 @@
 from cardamomdyke.model.jobs import FINAL_STATES, JobSpecification, JobState, JobStatus
 from cardamomdyke.model.outcomes import NotKnown, NotRun, describe_outcome
 from cardamomdyke.model.requests import ShortRequest
-from cardamomdyke.protocol.progress import CountedHandler
+from cardamomdyke.protocol.bodies import BodyHandler
 
 JOB_POLL_PERIOD_SECONDS = 0.1
 MAX_WAIT_SECONDS = 60.0
@@ -25,17 +24,12 @@
 # From the end of a request's headers to the end of its body.
 BODY_TIMEOUT_SECONDS = 10.0
 MAX_HEADER_CHARACTERS = 200
-BODY_TOO_LARGE_CODE = 413
 
 Value = TypeVar("Value")
 
 
-@stream_request_body
-class NodeHandler(CountedHandler):
-    """Base class of the handlers for callers and operators.
-
-    Reads the body in chunks, so that a large or slow one gets a typed reply.
-    """
+class NodeHandler(BodyHandler):
+    """Base class of the handlers for callers and operators."""
 
     node: Node
     body_timer: object = None
@@ -56,42 +50,14 @@
     def prepare(self) -> None:
         """Count the request and limit its body."""
         super().prepare()
-        self.body_chunks: list[bytes] = []
-        self.body_bytes = 0
         self.body_timer = IOLoop.current().call_later(
             BODY_TIMEOUT_SECONDS, self.refuse_slow_body
         )
+        self.start_body()
 
-    def data_received(self, chunk: bytes) -> None:
-        """Store a chunk of the body, or drop a body over the limit.
-
-        It is read to its end even so: a reply before that closes the connection while
-        the caller sends, and the caller's system may discard the reply.
-        """
-        if self._finished:
-            return
-        self.body_bytes += len(chunk)
-        if self.is_body_too_large:
-            self.body_chunks.clear()
-        else:
-            self.body_chunks.append(chunk)
-
-    @property
-    def is_body_too_large(self) -> bool:
-        """Whether the body received so far exceeds the size limit."""
-        return self.body_bytes > self.node.settings.maximum_body_bytes
-
-    def read_body(self) -> bytes:
-        """Return the body, which is complete when a method runs.
-
-        Raises
-        ------
-        HTTPError
-            If the body exceeds the size limit.
-        """
-        if self.is_body_too_large:
-            raise HTTPError(BODY_TOO_LARGE_CODE)
-        return b"".join(self.body_chunks)
+    def find_body_limit(self) -> int:
+        """Return the limit of the body, in bytes."""
+        return self.node.settings.maximum_body_bytes
 
     def stop_body_timer(self) -> None:
         """Stop the timeout of the body."""
@@ -101,8 +67,7 @@
 
     def refuse_large_body(self) -> None:
         """Reply that the body exceeds the size limit."""
-        limit = self.node.settings.maximum_body_bytes
-        message = f"the body is longer than {limit} bytes"
+        message = f"the body is longer than {self.find_body_limit()} bytes"
         write_reply(NotRun(make_problem(ProblemKind.BODY_TOO_LARGE, message)), self)
 
     def refuse_slow_body(self) -> None:
@@ -122,9 +87,6 @@
 
     def write_error(self, status_code: int, **details: Any) -> None:
         """Reply to an error; from status 500 on the request may have run."""
-        if status_code == BODY_TOO_LARGE_CODE:
-            self.refuse_large_body()
-            return
         if status_code < 500:
             message = f"{self.request.method} {self.request.path}: {self._reason}"
             problem = make_problem(ProblemKind.BAD_REQUEST, message)
--- a/src/cardamomdyke/daemon/replies.py
+++ b/src/cardamomdyke/daemon/replies.py
@@ -1,16 +1,20 @@
 """Writes outcomes and problems as HTTP replies."""
 
 from functools import singledispatch
+from http import HTTPStatus
+from uuid import uuid4
 
 from msgspec.json import encode
 from tornado.web import RequestHandler
 
-from cardamomdyke.model.errors import Problem, ProblemKind
+from cardamomdyke.model.errors import Problem, ProblemKind, make_problem
 from cardamomdyke.model.outcomes import Finished, NotKnown, NotRun
+from cardamomdyke.protocol.connections import MAX_HEADER_BYTES, encode_reply
 
 STATUS_BY_KIND: dict[ProblemKind, int] = {
     ProblemKind.BAD_REQUEST: 400,
     ProblemKind.BODY_TOO_LARGE: 413,
+    ProblemKind.HEADERS_TOO_LARGE: 431,
     ProblemKind.UNKNOWN_CLIENT_ACCOUNT: 403,
     ProblemKind.UNKNOWN_SERVICE: 404,
     ProblemKind.UNKNOWN_JOB: 404,
@@ -58,13 +62,27 @@
     handler.set_header("Content-Type", "application/json")
     if problem.retry_after_seconds is not None:
         handler.set_header("Retry-After", str(problem.retry_after_seconds))
-    handler.finish(
-        encode(
-            {
-                "outcome": outcome,
-                "kind": problem.kind,
-                "message": problem.message,
-                "remedy": problem.remedy,
-            }
-        )
+    handler.finish(encode_problem(problem, outcome))
+
+
+def encode_problem(problem: Problem, outcome: str) -> bytes:
+    """Encode the body of a reply that reports a problem."""
+    return encode(
+        {
+            "outcome": outcome,
+            "kind": problem.kind,
+            "message": problem.message,
+            "remedy": problem.remedy,
+        }
+    )
+
+
+def make_header_refusal() -> bytes:
+    """Return the encoded reply to a request whose headers are too long."""
+    kind = ProblemKind.HEADERS_TOO_LARGE
+    message = f"the headers are longer than {MAX_HEADER_BYTES} bytes"
+    return encode_reply(
+        HTTPStatus(STATUS_BY_KIND[kind]),
+        {"Request-Id": uuid4().hex, "Outcome": "not_run"},
+        encode_problem(make_problem(kind, message), "not_run"),
     )
--- a/src/cardamomdyke/protocol/progress.py
+++ b/src/cardamomdyke/protocol/progress.py
@@ -33,6 +33,10 @@
     counted = False
 
     def prepare(self) -> None:
+        """Count the request as in progress."""
+        self.start_counting()
+
+    def start_counting(self) -> None:
         """Count the request as in progress."""
         self.counted = True
         self.progress.requests += 1
--- a/tests/processes/test_refusals.py
+++ b/tests/processes/test_refusals.py
@@ -20,6 +20,8 @@
 
 pytestmark = pytest.mark.processes
 TIMEOUT_SECONDS = 30.0
+CHUNK = b"x" * 65_536
+MEGABYTE = 1_048_576
 JOB_ID = "00000000000000a1"
 
 
@@ -123,7 +125,60 @@
     return problem
 
 
+@pytest.mark.parametrize("size", [70_000, MEGABYTE, 8 * MEGABYTE])
+def test_long_headers_are_refused(target: Target, size: int) -> None:
+    """Guards against a connection that is closed without a reply."""
+    reply = send(target, X_Long="x" * size)
+    check_refusal(target, reply, 431)
+
+
+def test_headers_that_never_end_are_refused(target: Target) -> None:
+    """Guards against a daemon that reads headers without a bound."""
+    head = make_head(target).removesuffix(b"\r\n")
+    with connect(target.address) as connection:
+        connection.sendall(head + b"X-Long: " + CHUNK + CHUNK)
+        check_refusal(target, read_reply(connection), 431)
+
+
 def test_unknown_method_is_refused(target: Target) -> None:
     """Guards against an HTML page where callers expect JSON."""
     for method in ("FETCH", "PATCH"):
         check_refusal(target, send(target, method=method), 405)
+
+
+@pytest.mark.parametrize("size", [2, 16])
+def test_large_body_is_refused_after_it_was_sent(target: Target, size: int) -> None:
+    """Guards against a reply that is lost with the rest of the body unread."""
+    reply = send(target, b"x" * (size * MEGABYTE))
+    check_refusal(target, reply, 413)
+
+
+def test_large_chunked_body_is_refused(target: Target) -> None:
+    """Guards against a limit that holds only with the header Content-Length."""
+    chunk = b"%x\r\n" % len(CHUNK) + CHUNK + b"\r\n"
+    body = chunk * 32 + b"0\r\n\r\n"
+    reply = send(target, body, Transfer_Encoding="chunked")
+    check_refusal(target, reply, 413)
+
+
+def test_large_body_is_refused_while_it_is_sent(target: Target) -> None:
+    """Guards against a caller who learns of the limit only after the whole body."""
+    with connect(target.address) as connection:
+        connection.sendall(make_head(target, Content_Length=str(10**12)))
+        connection.sendall(CHUNK)
+        reply = read_reply(connection)
+        check_refusal(target, reply, 413)
+        # What the caller sends on is read, up to a bound.
+        for _ in range(16):
+            connection.sendall(CHUNK)
+        with pytest.raises(OSError):
+            while True:
+                connection.sendall(CHUNK)
+
+
+def test_oversized_key_is_refused(product: Target) -> None:
+    """Guards against a key that reaches backend servers and the log at any length."""
+    for size in (201, 60_000):
+        reply = send(product, Idempotency_Key="k" * size)
+        assert check_refusal(product, reply, 400)["kind"] == "bad_request"
+    assert send(product, b"text", Idempotency_Key="k" * 200).status == 200
