Answer an unknown path of the daemon with a typed refusal

Cause: the application had no default handler, so tornado sent its HTML page. Change: a handler for all other paths answers 404 with the kind unknown_path, whose remedy names the paths. Quoted paths are cut at 200 characters. Figures: test_unknown_path_is_refused fails before (text/html) and passes after. Conclusion: callers read every refusal as JSON.

--- a/src/cardamomdyke/daemon/app.py
+++ b/src/cardamomdyke/daemon/app.py
@@ -17,6 +17,7 @@
     JobHandler,
     JobsHandler,
     ShortRequestHandler,
+    UnknownPathHandler,
 )
 from cardamomdyke.daemon.coordinator import Coordinator, make_coordinator
 from cardamomdyke.daemon.domains import DomainManager
@@ -177,6 +178,8 @@
             (r"/v1/usage", UsageHandler, {**node, "usage": components.usage}),
             (r"/healthz", HealthHandler, node),
         ],
+        default_handler_class=UnknownPathHandler,
+        default_handler_args=node,
         log_function=lambda handler: None,
     )
 
--- a/src/cardamomdyke/daemon/callers.py
+++ b/src/cardamomdyke/daemon/callers.py
@@ -24,6 +24,7 @@
 # From the end of a request's headers to the end of its body.
 BODY_TIMEOUT_SECONDS = 10.0
 MAX_HEADER_CHARACTERS = 200
+MAX_QUOTED_CHARACTERS = 200
 
 Value = TypeVar("Value")
 
@@ -88,7 +89,8 @@
     def write_error(self, status_code: int, **details: Any) -> None:
         """Reply to an error; from status 500 on the request may have run."""
         if status_code < 500:
-            message = f"{self.request.method} {self.request.path}: {self._reason}"
+            path = self.request.path[:MAX_QUOTED_CHARACTERS]
+            message = f"{self.request.method} {path}: {self._reason}"
             problem = make_problem(ProblemKind.BAD_REQUEST, message)
             write_problem(problem, "not_run", status_code, self)
             return
@@ -118,6 +120,18 @@
             return Error(make_problem(ProblemKind.BAD_REQUEST, f"body: {error}"))
 
 
+class UnknownPathHandler(NodeHandler):
+    """All paths that no other handler serves."""
+
+    def refuse(self) -> None:
+        """Reply that the path is unknown."""
+        path = self.request.path[:MAX_QUOTED_CHARACTERS]
+        message = f"nothing has the path {path!r}"
+        write_reply(NotRun(make_problem(ProblemKind.UNKNOWN_PATH, message)), self)
+
+    get = post = delete = put = patch = head = options = refuse
+
+
 class ShortRequestHandler(NodeHandler):
     """``POST /v1/services/{service}/requests``."""
 
--- a/src/cardamomdyke/daemon/replies.py
+++ b/src/cardamomdyke/daemon/replies.py
@@ -15,6 +15,7 @@
     ProblemKind.BAD_REQUEST: 400,
     ProblemKind.BODY_TOO_LARGE: 413,
     ProblemKind.HEADERS_TOO_LARGE: 431,
+    ProblemKind.UNKNOWN_PATH: 404,
     ProblemKind.UNKNOWN_CLIENT_ACCOUNT: 403,
     ProblemKind.UNKNOWN_SERVICE: 404,
     ProblemKind.UNKNOWN_JOB: 404,
--- a/src/cardamomdyke/model/errors.py
+++ b/src/cardamomdyke/model/errors.py
@@ -16,6 +16,7 @@
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
+    UNKNOWN_PATH = "unknown_path"
     UNKNOWN_CLIENT_ACCOUNT = "unknown_client_account"
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_JOB = "unknown_job"
@@ -76,6 +77,11 @@
     ProblemKind.BAD_REQUEST: ("correct the request and send it again", None),
     ProblemKind.BODY_TOO_LARGE: ("send a body under the limit", None),
     ProblemKind.HEADERS_TOO_LARGE: ("send fewer or shorter headers", None),
+    ProblemKind.UNKNOWN_PATH: (
+        "use /healthz, or a path under /v1/services, jobs, tables, domains, status, "
+        "timeline, settings or usage",
+        None,
+    ),
     ProblemKind.UNKNOWN_CLIENT_ACCOUNT: (
         "use a client account that the routes table names",
         None,
--- a/tests/processes/test_refusals.py
+++ b/tests/processes/test_refusals.py
@@ -130,6 +130,7 @@
     """Guards against a connection that is closed without a reply."""
     reply = send(target, X_Long="x" * size)
     check_refusal(target, reply, 431)
+    assert send(target, method="GET", path="/nowhere").status == 404
 
 
 def test_headers_that_never_end_are_refused(target: Target) -> None:
@@ -140,6 +141,13 @@
         check_refusal(target, read_reply(connection), 431)
 
 
+def test_unknown_path_is_refused(target: Target) -> None:
+    """Guards against an HTML page where callers expect JSON."""
+    for method in ("GET", "POST", "DELETE"):
+        for path in ("/nowhere", "/v1", "/%00", "/" + "x" * 5000):
+            check_refusal(target, send(target, method=method, path=path), 404)
+
+
 def test_unknown_method_is_refused(target: Target) -> None:
     """Guards against an HTML page where callers expect JSON."""
     for method in ("FETCH", "PATCH"):
