Limit the idempotency key and names of a submitted job

Cause: POST /v1/jobs checked no text of the body, so a key of any length was accepted and sent to claim homes, the log and the other VMs. Short requests limit the same texts to 200 printable characters. Change: client_account, service and idempotency_key of a job have that limit; a longer or unprintable one is answered 400 with its name. Conclusion: the payload stays limited by the body only.

--- a/src/cardamomdyke/daemon/callers.py
+++ b/src/cardamomdyke/daemon/callers.py
@@ -23,7 +23,7 @@
 DEFAULT_DEADLINE_SECONDS = 30.0
 # From the end of a request's headers to the end of its body.
 BODY_TIMEOUT_SECONDS = 10.0
-MAX_HEADER_CHARACTERS = 200
+MAX_TEXT_CHARACTERS = 200
 MAX_QUOTED_CHARACTERS = 200
 
 Value = TypeVar("Value")
@@ -165,13 +165,9 @@
                 )
             )
         for name in ("Client-Account", "Idempotency-Key"):
-            value = headers.get(name, "")
-            if len(value) > MAX_HEADER_CHARACTERS or not value.isprintable():
-                message = (
-                    f"the header {name} must have at most {MAX_HEADER_CHARACTERS} "
-                    "characters, all of them printable"
-                )
-                return Error(make_problem(ProblemKind.BAD_REQUEST, message))
+            problem = find_text_problem(f"header {name}", headers.get(name, ""))
+            if problem is not None:
+                return Error(problem)
         first = headers.get("First-Attempt", "false")
         if first not in ("true", "false"):
             message = "the header First-Attempt must be true or false"
@@ -210,6 +206,26 @@
         )
 
 
+def check_specification(job: JobSpecification) -> Result[JobSpecification, Problem]:
+    """Check the texts that end in keys, records and log lines."""
+    for name in ("client_account", "service", "idempotency_key"):
+        problem = find_text_problem(f"field {name}", getattr(job, name))
+        if problem is not None:
+            return Error(problem)
+    return Ok(job)
+
+
+def find_text_problem(name: str, text: str) -> Problem | None:
+    """Return what is wrong with the text of a header or field."""
+    if len(text) <= MAX_TEXT_CHARACTERS and text.isprintable():
+        return None
+    message = (
+        f"the {name} must have at most {MAX_TEXT_CHARACTERS} characters, all of them "
+        "printable"
+    )
+    return make_problem(ProblemKind.BAD_REQUEST, message)
+
+
 class JobsHandler(NodeHandler):
     """``POST /v1/jobs``."""
 
@@ -219,7 +235,7 @@
         """Submit a job."""
         if self.refuse_when_draining():
             return
-        parsed = self.decode_body(JobSpecification)
+        parsed = self.decode_body(JobSpecification).bind(check_specification)
         if parsed.is_error():
             write_reply(NotRun(parsed.error), self)
             return
--- a/tests/processes/test_refusals.py
+++ b/tests/processes/test_refusals.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import pytest
-from msgspec.json import decode
+from msgspec.json import decode, encode
 
 from cardamomdyke_standins.deployment import (
     keep_failure_domain,
@@ -190,3 +190,23 @@
         reply = send(product, Idempotency_Key="k" * size)
         assert check_refusal(product, reply, 400)["kind"] == "bad_request"
     assert send(product, b"text", Idempotency_Key="k" * 200).status == 200
+
+
+@pytest.mark.parametrize(
+    "field",
+    [
+        {"idempotency_key": "k" * 201},
+        {"idempotency_key": "key\n"},
+        {"client_account": "k" * 201},
+        {"service": "k" * 201},
+    ],
+)
+def test_oversized_field_of_a_job_is_refused(
+    product: Target, field: dict[str, str]
+) -> None:
+    """Guards against a key that reaches backend servers and the log at any length."""
+    job = {"client_account": "koffie-invoer", "service": "order-desk", **field}
+    reply = send(product, encode(job), path="/v1/jobs")
+    problem = check_refusal(product, reply, 400)
+    assert problem["kind"] == "bad_request"
+    assert next(iter(field)) in problem["message"]
