Answer an unreadable wait with a typed refusal

Cause: GET /v1/jobs/{id}/answer parsed its query with float() alone. A typing error was answered 504, not known, as an unexpected error; nan and negative values were taken as no wait. Change: anything but a finite number from 0 on is answered 400.

--- a/src/cardamomdyke/daemon/callers.py
+++ b/src/cardamomdyke/daemon/callers.py
@@ -1,6 +1,7 @@
 """HTTP handlers for callers, and the base of all handlers."""
 
 import asyncio
+from math import inf, nan
 from typing import Any, TypeVar
 from uuid import uuid4
 
@@ -275,8 +276,11 @@
 
     async def get(self, job_id: str) -> None:
         """Reply with a job's outcome after a wait of up to ``wait`` seconds."""
-        wait = min(float(self.get_query_argument("wait", "0")), MAX_WAIT_SECONDS)
-        deadline = self.node.clock() + wait
+        wait = parse_wait(self.get_query_argument("wait", "0"))
+        if wait.is_error():
+            write_reply(NotRun(wait.error), self)
+            return
+        deadline = self.node.clock() + wait.ok
         result = await self.job_manager.show_job(job_id)
         while self.node.clock() < deadline and (
             result.is_error() or result.ok.state not in FINAL_STATES
@@ -302,3 +306,16 @@
             write_reply(NotRun(status.problem), self)
             return
         write_reply(NotKnown(status.problem), self)
+
+
+def parse_wait(text: str) -> Result[float, Problem]:
+    """Parse how long to wait for an answer, in seconds."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = nan
+    if not 0 <= seconds < inf:
+        quoted = text[:MAX_QUOTED_CHARACTERS]
+        message = f"wait must be a number of seconds from 0 on, not {quoted!r}"
+        return Error(make_problem(ProblemKind.BAD_REQUEST, message))
+    return Ok(min(seconds, MAX_WAIT_SECONDS))
--- a/tests/processes/test_refusals.py
+++ b/tests/processes/test_refusals.py
@@ -210,3 +210,10 @@
     problem = check_refusal(product, reply, 400)
     assert problem["kind"] == "bad_request"
     assert next(iter(field)) in problem["message"]
+
+
+@pytest.mark.parametrize("wait", ["soon", "nan", "-1", "1e999", "9" * 5000])
+def test_unreadable_wait_is_refused(product: Target, wait: str) -> None:
+    """Guards against an unexpected error, status 504, for a typing error."""
+    path = f"/v1/jobs/{JOB_ID}/answer?wait={wait}"
+    check_refusal(product, send(product, method="GET", path=path), 400)
