Refuse a limit of the timeline that has too many digits

Cause: GET /v1/timeline checked for digits and converted them with int(), which refuses more than 4,300; the reply was 504, not known. Change: a limit of more than 9 significant digits is answered 400 as other unreadable limits are.

--- a/src/cardamomdyke/daemon/reports.py
+++ b/src/cardamomdyke/daemon/reports.py
@@ -4,7 +4,7 @@
 from time import time
 
 from cardamomdyke.adapters.vmlist import MachineKind
-from cardamomdyke.daemon.callers import NodeHandler
+from cardamomdyke.daemon.callers import MAX_QUOTED_CHARACTERS, NodeHandler
 from cardamomdyke.daemon.node import Node
 from cardamomdyke.daemon.permits import find_standing
 from cardamomdyke.daemon.replies import write_reply
@@ -17,6 +17,7 @@
 from cardamomdyke.observability.events import RETAINED_EVENTS
 
 DEFAULT_EVENTS = 500
+MAX_LIMIT_DIGITS = 9
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,23 +138,30 @@
         """
         subject = self.get_query_argument("subject", "")
         limit_text = self.get_query_argument("limit", str(DEFAULT_EVENTS))
-        if (
-            not limit_text.isascii()
-            or not limit_text.isdigit()
-            or not 1 <= int(limit_text)
-        ):
+        limit = parse_limit(limit_text)
+        if not limit:
             message = (
                 f"limit is not a whole number from 1 to {RETAINED_EVENTS}: "
-                f"{limit_text!r}"
+                f"{limit_text[:MAX_QUOTED_CHARACTERS]!r}"
             )
             write_reply(NotRun(make_problem(ProblemKind.BAD_REQUEST, message)), self)
             return
         events = self.node.timeline.select_events(subject)
-        limit = min(int(limit_text), RETAINED_EVENTS)
         self.set_header("Events-Left-Out", str(max(0, len(events) - limit)))
         self.finish_json(events[-limit:])
 
 
+def parse_limit(text: str) -> int:
+    """Parse a number of events, at most ``RETAINED_EVENTS``; 0 if it is none."""
+    digits = text.lstrip("0")
+    if not digits.isascii() or not digits.isdigit():
+        return 0
+    # Python converts at most 4,300 digits.
+    if len(digits) > MAX_LIMIT_DIGITS:
+        return 0
+    return min(int(digits), RETAINED_EVENTS)
+
+
 class UsageHandler(NodeHandler):
     """``GET /v1/usage``."""
 
--- a/tests/processes/test_refusals.py
+++ b/tests/processes/test_refusals.py
@@ -217,3 +217,10 @@
     """Guards against an unexpected error, status 504, for a typing error."""
     path = f"/v1/jobs/{JOB_ID}/answer?wait={wait}"
     check_refusal(product, send(product, method="GET", path=path), 400)
+
+
+@pytest.mark.parametrize("limit", ["0", "-1", "some", "9" * 5000])
+def test_unreadable_limit_is_refused(product: Target, limit: str) -> None:
+    """Guards against an unexpected error for a number that Python does not convert."""
+    path = f"/v1/timeline?limit={limit}"
+    check_refusal(product, send(product, method="GET", path=path), 400)
