Refuse oversized and invalid requests of the platform daemon as JSON

Cause: the interface for callers left headers over 65,536 bytes, bodies over 1 MiB, unknown methods and unexpected errors to tornado: a closed connection, a bare 400 that a caller who was sending could not read, or an HTML page. Change: it uses the server of the product's own daemon (431, and a 413 that arrives while the caller sends) and writes errors as JSON with a remedy. The body is read in chunks; a request still counts for the shutdown only once its body is complete. Conclusion: both interfaces for callers refuse alike. Malformed HTTP still gets a bare 400 on both, and the readiness, metrics and peer ports keep tornado's pages.

--- a/src/cardamomdyke/control/answers.py
+++ b/src/cardamomdyke/control/answers.py
@@ -116,6 +116,30 @@
     return Refusal(410, NO_JOB_KIND, f"no job has the id {job_id}", "check the job id")
 
 
+def make_large_body(limit_bytes: int) -> Refusal:
+    """Return the refusal of a body over a limit."""
+    detail = f"the body is over {limit_bytes} bytes"
+    return Refusal(413, "body_too_large", detail, "send a smaller body")
+
+
+def make_large_headers(limit_bytes: int) -> Refusal:
+    """Return the refusal of headers over the limit."""
+    detail = f"the headers are over {limit_bytes} bytes"
+    return Refusal(431, "headers_too_large", detail, "send fewer or shorter headers")
+
+
+def make_bad_request(code: int, reason: str) -> Refusal:
+    """Return the refusal of a request that cannot be processed."""
+    detail = f"the request is invalid: {reason}"
+    return Refusal(code, "bad_request", detail, "correct the request")
+
+
+def make_unexpected_error(code: int) -> Refusal:
+    """Return the answer to a request that ended in an unexpected error."""
+    detail = "an unexpected error; it is not known whether this took effect"
+    return Refusal(code, "internal", detail, "send the same request again")
+
+
 def make_append_refusal(fault: StoreFault) -> Refusal:
     """Return the refusal that says what is certain after a failed append."""
     if fault.kind is StoreFaultKind.FENCED:
--- a/src/cardamomdyke/control/app.py
+++ b/src/cardamomdyke/control/app.py
@@ -13,7 +13,9 @@
 from cardamomdyke.control.context import Context, OperatorState
 from cardamomdyke.control.feeds import TopicFeed
 from cardamomdyke.control.ingress import (
+    MAX_BODY_BYTES,
     make_caller_application,
+    make_header_refusal,
     make_readiness_application,
 )
 from cardamomdyke.control.journal import make_journal
@@ -47,6 +49,7 @@
     StoreContact,
 )
 from cardamomdyke.protocol.client import PeerClient
+from cardamomdyke.protocol.connections import start_caller_server
 from cardamomdyke.protocol.gen.ttypes import RelayCall
 from cardamomdyke.protocol.progress import Progress
 from cardamomdyke.protocol.server import make_peer_application
@@ -63,7 +66,6 @@
 IDLE_CONNECTION_TIMEOUT_SECONDS = 30.0
 # Pause before an announcement without an answer is repeated.
 ANNOUNCE_WAIT_SECONDS = 0.5
-MAX_BODY_BYTES = 1_048_576
 
 
 def make_context(settings: NodeSettings) -> Context:
@@ -168,8 +170,15 @@
         {"relay_request": (receiver.serve_peer, RelayCall)}, progress
     )
     callers = make_caller_application(receiver, progress)
+    host, _, port = settings.caller_address.rpartition(":")
     return [
-        start_server(callers, settings.caller_address),
+        start_caller_server(
+            callers,
+            host,
+            int(port),
+            lambda: make_header_refusal(receiver),
+            idle_timeout_seconds=IDLE_CONNECTION_TIMEOUT_SECONDS,
+        ),
         start_server(make_readiness_application(context), settings.readiness_address),
         start_server(peers, peer.address),
     ]
--- a/src/cardamomdyke/control/ingress.py
+++ b/src/cardamomdyke/control/ingress.py
@@ -1,15 +1,25 @@
 """HTTP handlers for callers and for the load balancer."""
 
 import asyncio
+from http import HTTPStatus
 
 from tornado.web import Application, RequestHandler
 
+from cardamomdyke.control.answers import (
+    CallerAnswer,
+    make_bad_request,
+    make_large_body,
+    make_large_headers,
+    make_unexpected_error,
+)
 from cardamomdyke.control.clock import read_clock
 from cardamomdyke.control.context import Context, check_contact
 from cardamomdyke.control.processor import CallerRequest
 from cardamomdyke.control.relay import RequestReceiver
 from cardamomdyke.platform.submissions import KEY_HEADER, READINESS_PATH
-from cardamomdyke.protocol.progress import CountedHandler, Progress
+from cardamomdyke.protocol.bodies import BodyHandler
+from cardamomdyke.protocol.connections import MAX_HEADER_BYTES, encode_reply
+from cardamomdyke.protocol.progress import Progress
 
 # A daemon without an answer of the store for this long reports not ready. Requests
 # on open connections are relayed to peers by then. A daemon that shuts down calls
@@ -17,9 +27,11 @@
 READY_CONTACT_TIMEOUT_SECONDS = 1.3
 # The end of a connection arrives within this time after its last request.
 DEPARTURE_WAIT_SECONDS = 0.1
+# A configuration may set a lower limit.
+MAX_BODY_BYTES = 1_048_576
 
 
-class CallerHandler(CountedHandler):
+class CallerHandler(BodyHandler):
     """Handles all requests of callers."""
 
     abandoned = False
@@ -29,6 +41,30 @@
         self.receiver = receiver
         self.progress = progress
 
+    def prepare(self) -> None:
+        """Read the body; a request counts only once that is complete.
+
+        A caller that stops sending does not delay a shutdown.
+        """
+        self.start_body()
+
+    def find_body_limit(self) -> int:
+        """Return the limit of the body, in bytes."""
+        return MAX_BODY_BYTES
+
+    def refuse_large_body(self) -> None:
+        """Reply that the body exceeds the limit."""
+        refusal = make_large_body(MAX_BODY_BYTES)
+        self.write_answer(self.receiver.refuse(self.request.path, refusal))
+
+    def write_error(self, status_code: int, **details: object) -> None:
+        """Reply to an error of the HTTP server or of this process."""
+        if status_code < HTTPStatus.INTERNAL_SERVER_ERROR:
+            refusal = make_bad_request(status_code, self._reason)
+        else:
+            refusal = make_unexpected_error(status_code)
+        self.write_answer(self.receiver.refuse(self.request.path, refusal))
+
     def set_default_headers(self) -> None:
         """Remove the Server header, which callers do not use."""
         self.clear_header("Server")
@@ -55,18 +91,23 @@
 
     async def serve(self) -> None:
         """Answer and time the request."""
+        self.start_counting()
         request = CallerRequest(
             self.request.method or "",
             self.request.host_name,
             self.request.path,
             self.request.headers.get(KEY_HEADER, ""),
-            self.request.body,
+            self.read_body(),
             await self.find_withdrawal(),
         )
         began_at = read_clock()
         answer = await self.receiver.serve(request)
         metrics = self.receiver.context.metrics
         metrics.observe_request(request.method, answer.code, read_clock() - began_at)
+        self.write_answer(answer)
+
+    def write_answer(self, answer: CallerAnswer) -> None:
+        """Write an answer as the reply."""
         self.set_status(answer.code)
         self.set_header("Content-Type", "application/json")
         if answer.retry_after_seconds:
@@ -109,6 +150,12 @@
     )
 
 
+def make_header_refusal(receiver: RequestReceiver) -> bytes:
+    """Log and encode the reply to a request whose headers are too long."""
+    answer = receiver.refuse("", make_large_headers(MAX_HEADER_BYTES))
+    return encode_reply(HTTPStatus(answer.code), {}, answer.body)
+
+
 def make_readiness_application(context: Context) -> Application:
     """Create the application for readiness checks."""
     return Application(
--- a/src/cardamomdyke/control/processor.py
+++ b/src/cardamomdyke/control/processor.py
@@ -15,6 +15,7 @@
     CallerAnswer,
     Refusal,
     make_answer,
+    make_large_body,
     make_unknown_job,
 )
 from cardamomdyke.control.clock import read_clock
@@ -203,8 +204,7 @@
         detail = "a job's id is 16 hexadecimal digits"
         return Error(Refusal(400, "bad_id", detail, "correct the job id in the path"))
     if len(body) > target.tables.body_limit_bytes:
-        detail = f"the body is over {target.tables.body_limit_bytes} bytes"
-        return Error(Refusal(413, "body_too_large", detail, "send a smaller body"))
+        return Error(make_large_body(target.tables.body_limit_bytes))
     order = decode_submission(body).bind(check_order)
     if order.is_error():
         return Error(Refusal(400, "bad_job", order.error, "correct the body"))
--- a/src/cardamomdyke/control/relay.py
+++ b/src/cardamomdyke/control/relay.py
@@ -11,6 +11,7 @@
     NOT_KNOWN,
     NOT_REACHED,
     CallerAnswer,
+    Refusal,
     make_answer,
 )
 from cardamomdyke.control.clock import read_clock
@@ -234,6 +235,10 @@
                 return answer
             await asyncio.sleep(RETRY_WAIT_SECONDS)
 
+    def refuse(self, subject: str, refusal: Refusal) -> CallerAnswer:
+        """Log a refusal and return its answer."""
+        return self.processor.refuse(subject, refusal)
+
     def find_withdrawal(self, path: str) -> int:
         """Return the withdrawal that a request which arrives now certainly follows.
 
--- a/tests/processes/test_refusals.py
+++ b/tests/processes/test_refusals.py
@@ -1,4 +1,4 @@
-"""Typed refusals of oversized and misdirected requests."""
+"""Typed refusals of oversized and misdirected requests, on both daemons."""
 
 import socket
 from collections.abc import Iterator
@@ -16,6 +16,7 @@
     run_deployment,
     shrink_example,
 )
+from cardamomdyke_standins.nodes import API_KEY, PATH_PREFIX, ROUTE_HOST, run_nodes
 from tests.processes.conftest import ROOT
 
 pytestmark = pytest.mark.processes
@@ -76,7 +77,19 @@
         )
 
 
-@pytest.fixture(params=["product"])
+@pytest.fixture(scope="module")
+def node(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Target]:
+    """Run the daemon of the platform with one backend server."""
+    with run_nodes(tmp_path_factory.mktemp("node"), vms=1, servers=1) as nodes:
+        yield Target(
+            nodes.callers["vm0"],
+            PATH_PREFIX + JOB_ID,
+            {"Host": ROUTE_HOST, "Api-Key": API_KEY},
+            frozenset({"error", "remedy"}),
+        )
+
+
+@pytest.fixture(params=["product", "node"])
 def target(request: pytest.FixtureRequest) -> Target:
     found: Target = request.getfixturevalue(request.param)
     return found
@@ -224,3 +237,20 @@
     """Guards against an unexpected error for a number that Python does not convert."""
     path = f"/v1/timeline?limit={limit}"
     check_refusal(product, send(product, method="GET", path=path), 400)
+
+
+def test_oversized_job_id_is_refused(node: Target) -> None:
+    """Guards against an id that the store cannot take as a key."""
+    path = PATH_PREFIX + "0" * 60_000
+    check_refusal(node, send(node, b"{}", path=path), 400)
+
+
+def test_oversized_api_key_is_refused(node: Target) -> None:
+    """Guards against an unexpected error for a long key."""
+    check_refusal(node, send(node, b"{}", Api_Key="k" * 60_000), 401)
+
+
+def test_oversized_specification_is_refused(node: Target) -> None:
+    """Guards against a job that the store cannot take."""
+    body = encode({"specification": "x" * 4001, "steps": [{"count": 1}]})
+    check_refusal(node, send(node, body), 400)
