Read the log lines of daemons with cardamomdyke timeline

Cause: a platform daemon has no timeline that can be asked. Its JSON lines had to be merged by hand and searched with grep, which shows neither the order of times nor which lines are missing. On the logs of 3 daemons with the platform stand-in, a job is followed from job.accepted to job.completed over 2 VMs.

--- a/src/cardamomdyke/cli/client.py
+++ b/src/cardamomdyke/cli/client.py
@@ -9,6 +9,7 @@
 
 from expression import Result
 from fire.decorators import SetParseFn
+from msgspec import to_builtins
 from msgspec.json import encode, format
 
 from cardamomdyke.cli.calls import (
@@ -19,11 +20,13 @@
     call_vms,
 )
 from cardamomdyke.cli.files import check_tables, read_tables_file, read_value_file
+from cardamomdyke.cli.logs import read_log_files
 from cardamomdyke.cli.texts import render_bills, render_event, render_value
 from cardamomdyke.model.errors import Problem, ProblemKind, make_problem
 from cardamomdyke.model.jobs import JobSpecification
 
 VM_VARIABLE = "CARDAMOMDYKE_CLIENT_VM"
+MAX_LIMIT_DIGITS = 9
 EXIT_REFUSED = 1
 EXIT_BAD_COMMAND = 2
 EXIT_UNREACHABLE = 3
@@ -102,14 +105,18 @@
 
     @SetParseFn(str)  # type: ignore[untyped-decorator]
     def timeline(
-        self, *extra: str, subject: str = "", limit: str = "500", **unknown: str
+        self, *files: str, subject: str = "", limit: str = "500", **unknown: str
     ) -> None:
         """Show the events of all VMs, oldest first.
 
         --subject ID selects one request, job, failure domain or VM. --limit N limits
-        the events per VM.
+        the events per VM. With FILES, the events are read from the log lines of
+        daemons in these files, and no VM is asked.
         """
-        self._check_command(self.timeline, extra, unknown)
+        self._check_command(self.timeline, (), unknown)
+        if files:
+            self._show_log_files(files, subject, limit)
+            return
         subjects, events, left_out = [subject], {}, 0
         unreachable: list[Problem] = []
         for wanted in subjects:
@@ -122,11 +129,27 @@
                     linked = event["kind"].endswith(".linked") and wanted
                     if linked and event["detail"] not in subjects:
                         subjects.append(event["detail"])
-        ordered = sorted(events.values(), key=lambda event: event["at"])
+        self._print_events(events.values(), left_out)
+        self._report_unreachable(unreachable)
+
+    def _show_log_files(self, files: Iterable[str], subject: str, limit: str) -> None:
+        """Show the events in log files."""
+        is_limit = (
+            limit.isascii() and limit.isdigit() and len(limit) <= MAX_LIMIT_DIGITS
+        )
+        if not is_limit or not int(limit):
+            self._fail_command(f"--limit must be a whole number from 1 on: {limit!r}")
+        extract = self._unwrap(read_log_files(files, subject, int(limit)))
+        self._print_events(to_builtins(extract.events), extract.left_out)
+        for note in extract.notes:
+            print(note, file=sys.stderr)
+
+    def _print_events(self, events: Iterable[dict[str, Any]], left_out: int) -> None:
+        """Print events, oldest first."""
+        ordered = sorted(events, key=lambda event: event["at"])
         self._print(ordered, lambda rows: [render_event(row) for row in rows])
         if left_out:
             print(f"{left_out} older events are left out", file=sys.stderr)
-        self._report_unreachable(unreachable)
 
     @SetParseFn(str)  # type: ignore[untyped-decorator]
     def daemon(self, *extra: str, **unknown: str) -> None:
--- a/tests/processes/test_node.py
+++ b/tests/processes/test_node.py
@@ -6,11 +6,12 @@
 from typing import Any
 
 import pytest
-from msgspec.json import encode
+from msgspec.json import decode, encode
 
 from cardamomdyke_standins.deployment import send_http, set_faults, wait_until
 from cardamomdyke_standins.nodes import PATH_PREFIX, Nodes, run_nodes
 from cardamomdyke_standins.platform_server import StepPlan, encode_plan
+from tests.cli.test_command_line import run_command
 
 pytestmark = pytest.mark.processes
 JOB_ID = "00000000000000a1"
@@ -73,6 +74,31 @@
     assert nodes.read_state("vm0", JOB_ID) == "cancelled"
 
 
+def test_job_is_followed_through_the_logs_of_all_daemons(nodes: Nodes) -> None:
+    """Guards against a timeline that does not read what daemons write."""
+    (accepting, *_) = [vm for vm in nodes.callers if vm != nodes.find_planner()]
+    assert nodes.call(accepting, "POST", PATH_PREFIX + JOB_ID, make_body())[0] == 200
+    wait_until(lambda: nodes.read_state(accepting, JOB_ID) == "completed")
+    # The line of the end may follow the record of the end.
+    wait_until(
+        lambda: any(
+            line["message_type"] == "job.completed"
+            for vm in nodes.callers
+            for line in nodes.read_log(vm)
+        )
+    )
+    files = [str(nodes.directory / f"{vm}.log") for vm in nodes.callers]
+    result = run_command("timeline", *files, "--subject", JOB_ID, "--output", "json")
+    assert result.returncode == 0, result.stderr
+    events = decode(result.stdout)
+    kinds = [event["kind"] for event in events]
+    assert [kinds[0], kinds[-1]] == ["job.accepted", "job.completed"]
+    assert "unit.placed" in kinds
+    vms = {event["vm"] for event in events}
+    assert accepting in vms
+    assert len(vms) > 1
+
+
 @pytest.mark.parametrize(
     ("path", "body", "code"),
     [
