Close connections of callers also without free descriptors

Cause: the connection is duplicated before it is closed, so that its input can be read and dropped. With no free descriptor the duplication failed, and the error kept the connection open: a daemon out of descriptors would have stayed so. Change: the connection is then closed at once. Figures: test_connection_is_closed_without_free_descriptors fails before (no end of the connection in 10 s) and passes after; the 3 tests of the bounds of dropped input held. Conclusion: without free descriptors a caller that still sends may lose its reply, as before.

--- a/src/cardamomdyke/protocol/connections.py
+++ b/src/cardamomdyke/protocol/connections.py
@@ -92,12 +92,13 @@
         if self.closed():
             return
         is_oversized = isinstance(exc_info, UnsatisfiableReadError)
-        reply = self.make_refusal() if is_oversized and self.is_reading_headers else b""
         # After another error the socket is of no use any more.
-        rest = self.socket.dup() if is_oversized or not exc_info else None
+        rest = duplicate(self.socket) if is_oversized or not exc_info else None
         super().close(exc_info)  # type: ignore[arg-type]
-        if rest is not None:
-            finish_connection(rest, reply)
+        if rest is None:
+            return
+        is_refused = is_oversized and self.is_reading_headers
+        finish_connection(rest, self.make_refusal() if is_refused else b"")
 
 
 class CallerServer(HTTPServer):
@@ -110,6 +111,14 @@
         super().handle_stream(CallerStream(stream, self.make_refusal), address)
 
 
+def duplicate(connection: socket) -> socket | None:
+    """Duplicate a socket; None if the process has no free descriptor."""
+    try:
+        return connection.dup()
+    except OSError:
+        return None
+
+
 def finish_connection(connection: socket, reply: bytes) -> None:
     """Send a last reply, and close a connection once its input has ended."""
     try:
