Tell a caller whose body is refused that its connection ends

Cause: a reply before the end of the body ends the connection, but tornado sets Connection: close only when it knows that before the headers. A caller could send its next request on the connection, where it is dropped without a reply. Change: replies 413, and 408 for a slow body, carry Connection: close. The assertion for 408 was added to a test and not run on the code before. Conclusion: a caller that reads replies before it sends the next request loses none.

--- a/src/cardamomdyke/daemon/callers.py
+++ b/src/cardamomdyke/daemon/callers.py
@@ -77,6 +77,7 @@
         self.body_timer = None
         if self._finished or self.request._body_future.done():
             return
+        self.set_header("Connection", "close")
         message = f"the body did not arrive within {BODY_TIMEOUT_SECONDS:g} s"
         write_problem(
             make_problem(ProblemKind.BAD_REQUEST, message), "not_run", 408, self
--- a/src/cardamomdyke/protocol/bodies.py
+++ b/src/cardamomdyke/protocol/bodies.py
@@ -26,7 +26,7 @@
         self.body_bytes = 0
         declared = self.request.headers.get("Content-Length", "")
         if is_over_limit(declared, self.find_body_limit()):
-            self.refuse_large_body()
+            self.refuse_rest_of_body()
 
     def data_received(self, chunk: bytes) -> None:
         """Store a chunk of the body, or refuse the body."""
@@ -35,10 +35,15 @@
         self.body_bytes += len(chunk)
         if self.body_bytes > self.find_body_limit():
             self.body_chunks.clear()
-            self.refuse_large_body()
+            self.refuse_rest_of_body()
             return
         self.body_chunks.append(chunk)
 
+    def refuse_rest_of_body(self) -> None:
+        """Refuse the body, and tell the caller that the connection ends."""
+        self.set_header("Connection", "close")
+        self.refuse_large_body()
+
     def read_body(self) -> bytes:
         """Return the body, which is complete when a method runs."""
         return b"".join(self.body_chunks)
--- a/tests/processes/test_refusals.py
+++ b/tests/processes/test_refusals.py
@@ -172,6 +172,7 @@
     """Guards against a reply that is lost with the rest of the body unread."""
     reply = send(target, b"x" * (size * MEGABYTE))
     check_refusal(target, reply, 413)
+    assert reply.headers["Connection"] == "close"
 
 
 def test_large_chunked_body_is_refused(target: Target) -> None:
@@ -180,6 +181,7 @@
     body = chunk * 32 + b"0\r\n\r\n"
     reply = send(target, body, Transfer_Encoding="chunked")
     check_refusal(target, reply, 413)
+    assert reply.headers["Connection"] == "close"
 
 
 def test_large_body_is_refused_while_it_is_sent(target: Target) -> None:
@@ -189,6 +191,7 @@
         connection.sendall(CHUNK)
         reply = read_reply(connection)
         check_refusal(target, reply, 413)
+        assert reply.headers["Connection"] == "close"
         # What the caller sends on is read, up to a bound.
         for _ in range(16):
             connection.sendall(CHUNK)
--- a/tests/processes/test_short_requests.py
+++ b/tests/processes/test_short_requests.py
@@ -127,6 +127,7 @@
             time.sleep(0.2)
     assert b" 408 " in slow_body.result()
     assert b"did not arrive within" in slow_body.result()
+    assert b"\r\nConnection: close\r\n" in slow_body.result()
     assert slow_head.result() == b"", "the slow header's connection closes"
 
 
