Cut long texts of callers in refusals and their log lines

Cause: a refusal quotes the path, and its log line holds the path as subject and in the detail. With 65,536 bytes of headers a caller could make each line 120 KB long, 200 times a second. Change: the platform daemon cuts the subject at 200 and the detail at 400 characters. Conclusion: a job id, of 16 characters, is never cut.

--- a/src/cardamomdyke/control/processor.py
+++ b/src/cardamomdyke/control/processor.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 
 from expression import Error, Ok, Result
@@ -46,6 +46,8 @@
 # when they expect it, and an end takes up to 0.15 s to reach every daemon.
 STATE_WAIT_SECONDS = 0.2
 CANCELLATION_VALUE = b"1"
+MAX_SUBJECT_CHARACTERS = 200
+MAX_DETAIL_CHARACTERS = 400
 
 
 @dataclass(frozen=True, slots=True)
@@ -378,10 +380,11 @@
         return make_unknown_job(job_id)
 
     def refuse(self, subject: str, refusal: Refusal) -> CallerAnswer:
-        """Log a refusal and return its answer."""
+        """Log a refusal and return its answer; long texts of callers are cut."""
+        refusal = replace(refusal, detail=refusal.detail[:MAX_DETAIL_CHARACTERS])
         self.context.journal.write(
             "request.refused",
-            subject,
+            subject[:MAX_SUBJECT_CHARACTERS],
             code=refusal.code,
             reason=refusal.kind,
             detail=refusal.detail,
--- a/tests/control/test_processor.py
+++ b/tests/control/test_processor.py
@@ -1,6 +1,7 @@
 """Tests of the answers to callers."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from msgspec.json import decode, encode
@@ -15,7 +16,7 @@
     encode_progress,
 )
 from cardamomdyke.platform.records import KeyedRecord, StoreFault, StoreFaultKind
-from tests.control.fakes import make_processor, make_request
+from tests.control.fakes import PREFIX, make_processor, make_request
 
 JOB = "00000000000000a1"
 BODY = encode({"specification": "x", "steps": [{"count": 1, "cpu_millicores": 1}]})
@@ -147,3 +148,26 @@
         assert b"shared backend servers" in answer.body
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("prefix", "code", "reason"), [("/", 404, "no_queue"), (PREFIX, 410, "bad_id")]
+)
+def test_refusal_of_a_long_path_is_logged_in_short(
+    monkeypatch: pytest.MonkeyPatch, prefix: str, code: int, reason: str
+) -> None:
+    """Guards against log lines that callers make as long as their headers."""
+    processor = make_processor()
+    lines: list[dict[str, object]] = []
+
+    def write(kind: str, subject: str, **fields: object) -> None:
+        lines.append({"subject": subject, **fields})
+
+    monkeypatch.setattr(processor.context.journal, "write", write)
+    request = replace(make_request("GET"), path=prefix + "x" * 60_000)
+    answer = asyncio.run(processor.serve(request))
+    assert answer.code == code
+    (line,) = lines
+    assert line["reason"] == reason
+    assert len(encode(line)) < 1000
+    assert len(answer.body) < 1000
