--- a/src/cardamomdyke/daemon/callers.py
+++ b/src/cardamomdyke/daemon/callers.py
@@ -1,13 +1,13 @@
 """HTTP handlers for callers, and the base of all handlers."""
 
 import asyncio
+from math import inf, nan
 from typing import Any, TypeVar
 from uuid import uuid4
 
 from expression import Error, Ok, Result
 from msgspec.json import decode, encode
 from tornado.ioloop import IOLoop
-from tornado.web import HTTPError, stream_request_body
 
 from cardamomdyke.daemon.coordinator import Coordinator
 from cardamomdyke.daemon.jobs import JobManager
@@ -17,28 +17,25 @@
 from cardamomdyke.model.jobs import FINAL_STATES, JobSpecification, JobState, JobStatus
 from cardamomdyke.model.outcomes import NotKnown, NotRun, describe_outcome
 from cardamomdyke.model.requests import ShortRequest
-from cardamomdyke.protocol.progress import CountedHandler
+from cardamomdyke.protocol.bodies import BodyHandler
 
 JOB_POLL_PERIOD_SECONDS = 0.1
 MAX_WAIT_SECONDS = 60.0
 DEFAULT_DEADLINE_SECONDS = 30.0
 # From the end of a request's headers to the end of its body.
 BODY_TIMEOUT_SECONDS = 10.0
-MAX_HEADER_CHARACTERS = 200
-BODY_TOO_LARGE_CODE = 413
+MAX_TEXT_CHARACTERS = 200
+MAX_QUOTED_CHARACTERS = 200
 
 Value = TypeVar("Value")
 
 
-@stream_request_body
-class NodeHandler(CountedHandler):
-    """Base class of the handlers for callers and operators.
-
-    Reads the body in chunks, so that a large or slow one gets a typed reply.
-    """
+class NodeHandler(BodyHandler):
+    """Base class of the handlers for callers and operators."""
 
     node: Node
     body_timer: object = None
+    request_id: str = ""
 
     def initialize(self, node: Node, **components: object) -> None:
         """Store the shared state and the route's components."""
@@ -47,47 +44,22 @@
         for name, component in components.items():
             setattr(self, name, component)
 
-    def prepare(self) -> None:
-        """Assign a request id, count the request and limit its body."""
-        self.request_id = uuid4().hex
+    def set_default_headers(self) -> None:
+        """Assign a request id once, and send it with every reply."""
+        self.request_id = self.request_id or uuid4().hex
         self.set_header("Request-Id", self.request_id)
+
+    def prepare(self) -> None:
+        """Count the request and limit its body."""
         super().prepare()
-        self.body_chunks: list[bytes] = []
-        self.body_bytes = 0
         self.body_timer = IOLoop.current().call_later(
             BODY_TIMEOUT_SECONDS, self.refuse_slow_body
         )
+        self.start_body()
 
-    def data_received(self, chunk: bytes) -> None:
-        """Store a chunk of the body, or drop a body over the limit.
-
-        It is read to its end even so: a reply before that closes the connection while
-        the caller sends, and the caller's system may discard the reply.
-        """
-        if self._finished:
-            return
-        self.body_bytes += len(chunk)
-        if self.is_body_too_large:
-            self.body_chunks.clear()
-        else:
-            self.body_chunks.append(chunk)
-
-    @property
-    def is_body_too_large(self) -> bool:
-        """Whether the body received so far exceeds the size limit."""
-        return self.body_bytes > self.node.settings.maximum_body_bytes
-
-    def read_body(self) -> bytes:
-        """Return the body, which is complete when a method runs.
-
-        Raises
-        ------
-        HTTPError
-            If the body exceeds the size limit.
-        """
-        if self.is_body_too_large:
-            raise HTTPError(BODY_TOO_LARGE_CODE)
-        return b"".join(self.body_chunks)
+    def find_body_limit(self) -> int:
+        """Return the limit of the body, in bytes."""
+        return self.node.settings.maximum_body_bytes
 
     def stop_body_timer(self) -> None:
         """Stop the timeout of the body."""
@@ -97,8 +69,7 @@
 
     def refuse_large_body(self) -> None:
         """Reply that the body exceeds the size limit."""
-        limit = self.node.settings.maximum_body_bytes
-        message = f"the body is longer than {limit} bytes"
+        message = f"the body is longer than {self.find_body_limit()} bytes"
         write_reply(NotRun(make_problem(ProblemKind.BODY_TOO_LARGE, message)), self)
 
     def refuse_slow_body(self) -> None:
@@ -106,6 +77,7 @@
         self.body_timer = None
         if self._finished or self.request._body_future.done():
             return
+        self.set_header("Connection", "close")
         message = f"the body did not arrive within {BODY_TIMEOUT_SECONDS:g} s"
         write_problem(
             make_problem(ProblemKind.BAD_REQUEST, message), "not_run", 408, self
@@ -118,11 +90,9 @@
 
     def write_error(self, status_code: int, **details: Any) -> None:
         """Reply to an error; from status 500 on the request may have run."""
-        if status_code == BODY_TOO_LARGE_CODE:
-            self.refuse_large_body()
-            return
         if status_code < 500:
-            message = f"{self.request.method} {self.request.path}: {self._reason}"
+            path = self.request.path[:MAX_QUOTED_CHARACTERS]
+            message = f"{self.request.method} {path}: {self._reason}"
             problem = make_problem(ProblemKind.BAD_REQUEST, message)
             write_problem(problem, "not_run", status_code, self)
             return
@@ -152,6 +122,18 @@
             return Error(make_problem(ProblemKind.BAD_REQUEST, f"body: {error}"))
 
 
+class UnknownPathHandler(NodeHandler):
+    """All paths that no other handler serves."""
+
+    def refuse(self) -> None:
+        """Reply that the path is unknown."""
+        path = self.request.path[:MAX_QUOTED_CHARACTERS]
+        message = f"nothing has the path {path!r}"
+        write_reply(NotRun(make_problem(ProblemKind.UNKNOWN_PATH, message)), self)
+
+    get = post = delete = put = patch = head = options = refuse
+
+
 class ShortRequestHandler(NodeHandler):
     """``POST /v1/services/{service}/requests``."""
 
@@ -185,13 +167,9 @@
                 )
             )
         for name in ("Client-Account", "Idempotency-Key"):
-            value = headers.get(name, "")
-            if len(value) > MAX_HEADER_CHARACTERS or not value.isprintable():
-                message = (
-                    f"the header {name} must have at most {MAX_HEADER_CHARACTERS} "
-                    "characters, all of them printable"
-                )
-                return Error(make_problem(ProblemKind.BAD_REQUEST, message))
+            problem = find_text_problem(f"header {name}", headers.get(name, ""))
+            if problem is not None:
+                return Error(problem)
         first = headers.get("First-Attempt", "false")
         if first not in ("true", "false"):
             message = "the header First-Attempt must be true or false"
@@ -230,6 +208,26 @@
         )
 
 
+def check_specification(job: JobSpecification) -> Result[JobSpecification, Problem]:
+    """Check the texts that end in keys, records and log lines."""
+    for name in ("client_account", "service", "idempotency_key"):
+        problem = find_text_problem(f"field {name}", getattr(job, name))
+        if problem is not None:
+            return Error(problem)
+    return Ok(job)
+
+
+def find_text_problem(name: str, text: str) -> Problem | None:
+    """Return what is wrong with the text of a header or field."""
+    if len(text) <= MAX_TEXT_CHARACTERS and text.isprintable():
+        return None
+    message = (
+        f"the {name} must have at most {MAX_TEXT_CHARACTERS} characters, all of them "
+        "printable"
+    )
+    return make_problem(ProblemKind.BAD_REQUEST, message)
+
+
 class JobsHandler(NodeHandler):
     """``POST /v1/jobs``."""
 
@@ -239,7 +237,7 @@
         """Submit a job."""
         if self.refuse_when_draining():
             return
-        parsed = self.decode_body(JobSpecification)
+        parsed = self.decode_body(JobSpecification).bind(check_specification)
         if parsed.is_error():
             write_reply(NotRun(parsed.error), self)
             return
@@ -279,8 +277,11 @@
 
     async def get(self, job_id: str) -> None:
         """Reply with a job's outcome after a wait of up to ``wait`` seconds."""
-        wait = min(float(self.get_query_argument("wait", "0")), MAX_WAIT_SECONDS)
-        deadline = self.node.clock() + wait
+        wait = parse_wait(self.get_query_argument("wait", "0"))
+        if wait.is_error():
+            write_reply(NotRun(wait.error), self)
+            return
+        deadline = self.node.clock() + wait.ok
         result = await self.job_manager.show_job(job_id)
         while self.node.clock() < deadline and (
             result.is_error() or result.ok.state not in FINAL_STATES
@@ -306,3 +307,16 @@
             write_reply(NotRun(status.problem), self)
             return
         write_reply(NotKnown(status.problem), self)
+
+
+def parse_wait(text: str) -> Result[float, Problem]:
+    """Parse how long to wait for an answer, in seconds."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = nan
+    if not 0 <= seconds < inf:
+        quoted = text[:MAX_QUOTED_CHARACTERS]
+        message = f"wait must be a number of seconds from 0 on, not {quoted!r}"
+        return Error(make_problem(ProblemKind.BAD_REQUEST, message))
+    return Ok(min(seconds, MAX_WAIT_SECONDS))
--- a/src/cardamomdyke_standins/deployment.py
+++ b/src/cardamomdyke_standins/deployment.py
@@ -179,21 +179,27 @@
         return decode(reply) if reply is not None else None
 
     def stop_all(self) -> dict[str, int]:
-        """Stop daemons, then stand-ins, and return the daemons' exit codes."""
+        """Stop daemons, then stand-ins, and return the daemons' exit codes.
+
+        Raises
+        ------
+        TimeoutExpired
+            When a daemon did not stop in time; all processes are killed then.
+        """
         names = [vm["vm"] for vm in self.example["vms"] if vm["vm"] in self.processes]
-        for name in names:
-            # A stopped process does not handle SIGTERM.
-            self.processes[name].send_signal(signal.SIGCONT)
-            self.processes[name].terminate()
-        codes = {
-            name: self.processes[name].wait(STOP_TIMEOUT_SECONDS) for name in names
-        }
-        for name, process in self.processes.items():
-            if name not in codes:
+        try:
+            for name in names:
+                # A stopped process does not handle SIGTERM.
+                self.processes[name].send_signal(signal.SIGCONT)
+                self.processes[name].terminate()
+            return {
+                name: self.processes[name].wait(STOP_TIMEOUT_SECONDS) for name in names
+            }
+        finally:
+            for process in self.processes.values():
                 process.kill()
                 process.wait()
-        self.processes.clear()
-        return codes
+            self.processes.clear()
 
 
 def list_machines(example: dict[str, Any]) -> list[dict[str, str]]:
@@ -375,6 +381,25 @@
     return {**example, "vms": vms, "relay": decode(encode(plan))}
 
 
+def find_taken_addresses(example: dict[str, Any]) -> list[str]:
+    """Return the addresses of an example that its processes cannot bind."""
+    addresses = sorted(set(re.findall(ADDRESS_PATTERN, encode(example).decode())))
+    return [address for address in addresses if not check_free(address)]
+
+
+def check_free(address: str) -> bool:
+    """Return whether a process could listen on ``host:port``."""
+    host, _, port = address.rpartition(":")
+    with socket.socket() as probe:
+        # As the processes do: connections that ended lately keep no port taken.
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, int(port)))
+        except OSError:
+            return False
+    return True
+
+
 def check_port(host: str, port: int) -> bool:
     """Return True when a TCP connection to a port succeeds."""
     with socket.socket() as probe:
--- a/src/cardamomdyke_standins/example.py
+++ b/src/cardamomdyke_standins/example.py
@@ -1,17 +1,22 @@
 """Runs an example deployment with short requests and a gang."""
 
+import signal
 import sys
 import tempfile
 import time
 from contextlib import suppress
 from pathlib import Path
+from types import FrameType
 from typing import Any
 
 from fire import Fire
 from msgspec.json import decode, encode
+from psutil import Process, wait_procs
 
+from cardamomdyke.model.errors import Problem, ProblemKind
 from cardamomdyke_standins.deployment import (
     Deployment,
+    find_taken_addresses,
     move_to_free_ports,
     read_example,
     run_deployment,
@@ -19,6 +24,9 @@
 )
 
 REQUESTS_PER_ACCOUNT = 5
+EXIT_REFUSED = 1
+EXIT_INTERRUPTED = 130
+STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 
 
 def send_requests(deployment: Deployment) -> int:
@@ -77,8 +85,40 @@
     return len(lines)
 
 
+def interrupt(number: int, frame: FrameType | None) -> None:
+    """Handle a signal to stop; later ones do not disturb the cleanup.
+
+    Raises
+    ------
+    KeyboardInterrupt
+        Always, so that every signal ends the run as Ctrl-C does.
+    """
+    for stop_signal in STOP_SIGNALS:
+        signal.signal(stop_signal, signal.SIG_IGN)
+    raise KeyboardInterrupt
+
+
+def kill_children() -> None:
+    """Kill processes that a signal kept the deployment from recording."""
+    children = Process().children(recursive=True)
+    for child in children:
+        child.kill()
+    wait_procs(children)
+
+
+def find_port_problem(example: dict[str, Any]) -> Problem | None:
+    """Return the problem of an example whose ports are not free."""
+    taken = find_taken_addresses(example)
+    if not taken:
+        return None
+    others = f" (and {len(taken) - 1} more of its addresses)" if taken[1:] else ""
+    remedy = "stop the deployment that uses it, or add --free_ports"
+    message = f"{taken[0]} is in use{others}"
+    return Problem(ProblemKind.INVALID_SETTING, message, remedy)
+
+
 def wait_for_interrupt(deployment: Deployment) -> None:
-    """Keep the deployment running until Ctrl-C."""
+    """Keep the deployment running until Ctrl-C or another signal to stop."""
     vms = deployment.example["vms"]
     addresses = ", ".join(vm["caller_address"] for vm in vms)
     print(f"serving callers on {addresses}; Ctrl-C stops", flush=True)
@@ -107,12 +147,19 @@
     free_ports : bool
         Use free ports, so that runs do not conflict.
     keep : bool
-        Keep serving until Ctrl-C.
+        Keep serving until Ctrl-C or SIGTERM.
     """
+    for stop_signal in STOP_SIGNALS:
+        signal.signal(stop_signal, interrupt)
     root = Path(__file__).parents[2]
     content = read_example(root / "examples" / f"{example}.json")
     if free_ports:
         content = move_to_free_ports(content)
+    problem = find_port_problem(content)
+    if problem is not None:
+        text = f"{problem.kind}: {problem.message}; {problem.remedy}"
+        print(text, file=sys.stderr)
+        sys.exit(EXIT_REFUSED)
     directory = Path(logs or tempfile.mkdtemp(prefix="cardamomdyke-"))
     command = [sys.executable, binary] if binary else None
     with run_deployment(content, directory, command) as deployment:
@@ -129,8 +176,13 @@
         codes = deployment.stop_all()
         print(f"daemons stopped with exit codes {sorted(set(codes.values()))}")
     if final["state"] != "finished" or set(codes.values()) != {0}:
-        sys.exit(1)
+        sys.exit(EXIT_REFUSED)
 
 
 if __name__ == "__main__":
-    Fire(main)
+    try:
+        Fire(main)
+    except KeyboardInterrupt:
+        sys.exit(EXIT_INTERRUPTED)
+    finally:
+        kill_children()
