End a finished gang whose claim another planner marked as ended

Cause: a planner marked a cancellation in the job's claim and died before its releases. The gang ran on to its end. The next planner adopted it before the claim home answered, had its whole answer, and asked for a mark of its own. The home refused, since the claim already said ended, and the planner took that for a later planner's claim and dropped the job. In the model nobody ends the job then. The daemon records the answer in the log first, so it is affected only while the log is down: by reading, it drops the job and takes it over again 10 s later.

Change: a claim that says ended counts as the mark for an end that callers may know of whatever the claim says (a whole answer or a cancellation). Any other end is still dropped: "not run" must not be told for a job that another planner ended.

--- a/src/cardamomdyke/gangs/machine.py
+++ b/src/cardamomdyke/gangs/machine.py
@@ -130,12 +130,18 @@
     """
     if gang.ending is None or gang.ending.state is JobState.QUEUED:
         return False
-    if gang.ending.state in (JobState.FINISHED, JobState.CANCELLED):
+    if check_end_shown(gang):
         return True
     timed_out = now > gang.phase_entered_at + RUN_LEASE_SECONDS
     return gang.end_marked or gang.epoch == 0 or timed_out
 
 
+def check_end_shown(gang: Gang) -> bool:
+    """Return whether callers may know of the end whatever the claim says."""
+    shown = (JobState.FINISHED, JobState.CANCELLED)
+    return gang.ending is not None and gang.ending.state in shown
+
+
 @singledispatch
 def apply_event(event: object, gang: Gang, now: float) -> Gang:
     """Return the state after an event, before phase changes and calls."""
@@ -259,12 +265,17 @@
 
 
 def handle_other_claim(gang: Gang, event: ClaimAnswered, now: float) -> Gang:
-    """Take the claim of a previous planner, or end when a later one holds it."""
+    """Take the claim of a previous planner, or end when a later one holds it.
+
+    An end that callers may know of needs no mark of its own in a claim that says ended.
+    """
     assert gang.pending_claim is not None
     if gang.epoch > 0 and event.holder == gang.holder:
         # The answer to an earlier take of this planner was lost.
         again = replace(gang.pending_claim, epoch=event.epoch + 1, take=True)
         return replace(gang, pending_claim=again)
+    if event.stage is Stage.ENDED and check_end_shown(gang):
+        return replace(gang, end_marked=True, pending_claim=None)
     if gang.epoch > 0:
         return replace(gang, phase=Phase.ENDED, ending=None, pending_claim=None)
     if event.stage is Stage.ENDED:
