Let a planner whose releases are fenced ask its claim home again

Cause: a planner that takes a job over releases its members on the suspect servers and starts it once all have accepted. A server that knows a later epoch refuses, and the planner repeated the releases with the same epoch without end. The daemon's clear_servers ignored the kind of the refusal in the same way.

Change: the refusal is the event ReleaseFenced. The planner asks its claim home for the next epoch. If another planner holds a later claim, it drops the job, as after any lost claim. The take is of the next epoch only, since a larger step could replace a claim not yet read.

Tests: the model of the histories now feeds ReleaseFenced for a refused release, as the daemon does; it fed nothing before. Its checks, bounds and counts are unchanged.

A new planner needs about one refusal per epoch that the claim home has lost.

--- a/src/cardamomdyke/daemon/takeover.py
+++ b/src/cardamomdyke/daemon/takeover.py
@@ -7,7 +7,7 @@
 
 from msgspec.json import Decoder, encode
 
-from cardamomdyke.adapters.backend import LeaseCall, TaskReport
+from cardamomdyke.adapters.backend import BackendFaultKind, LeaseCall, TaskReport
 from cardamomdyke.configuration.fold import list_server_names
 from cardamomdyke.daemon.gossip import Gossiper
 from cardamomdyke.daemon.inventories import (
@@ -28,6 +28,7 @@
     ObservedMember,
     PartialGangFound,
     Phase,
+    ReleaseFenced,
     RequestClaim,
     Stage,
     SuspectServersCleared,
@@ -300,15 +301,17 @@
                 self.planner.feed(job, PartialGangFound())
             case Verdict.CLEAR:
                 observed_servers = {member.placement.server for member in observed}
-                if await self.clear_servers(job, wanted | observed_servers):
-                    self.planner.feed(job, SuspectServersCleared())
+                event = await self.clear_servers(job, wanted | observed_servers)
+                if event is not None:
+                    self.planner.feed(job, event)
 
     def list_possible_servers(self, job: PlannedJob) -> set[str]:
         """Return the backend servers that may hold a job's members."""
+        suspects = set(job.gang.suspect_servers)
         if not job.gang.unknown_history:
-            return set(job.gang.suspect_servers)
+            return suspects
         pool = self.planner.find_pool(job)
-        return {server.name for server in pool.servers} if pool else set()
+        return suspects | ({server.name for server in pool.servers} if pool else set())
 
     def list_observed_members(self, job: PlannedJob) -> list[ObservedMember]:
         """Return a job's members in inventories read since it was queued."""
@@ -319,11 +322,20 @@
             and self.inventories.newest[name].requested_at >= job.queued_at
         ]
 
-    async def clear_servers(self, job: PlannedJob, names: set[str]) -> bool:
-        """Release all members on some servers; this also sets the new epoch there."""
+    async def clear_servers(
+        self, job: PlannedJob, names: set[str]
+    ) -> SuspectServersCleared | ReleaseFenced | None:
+        """Release all members on some servers; this also sets the new epoch there.
+
+        Returns
+        -------
+        SuspectServersCleared, ReleaseFenced or None
+            None when a server did not answer and none knows a later epoch.
+        """
+        epoch = job.gang.epoch
         servers = self.inventories.find_servers()
         leases = tuple(
-            LeaseCall(job.gang.job_id, member, job.gang.epoch, job.gang.holder)
+            LeaseCall(job.gang.job_id, member, epoch, job.gang.holder)
             for member in range(job.gang.size)
         )
         results = await asyncio.gather(
@@ -333,4 +345,8 @@
                 if name in servers
             )
         )
-        return all(result.is_ok() for result in results)
+        faults = [result.error.kind for result in results if result.is_error()]
+        if BackendFaultKind.FENCED in faults:
+            self.node.timeline.record_change("job.release_fenced", job.gang.job_id)
+            return ReleaseFenced(epoch)
+        return None if faults else SuspectServersCleared()
--- a/src/cardamomdyke/gangs/adoption.py
+++ b/src/cardamomdyke/gangs/adoption.py
@@ -48,7 +48,9 @@
         return Verdict.NOTHING
     if check_whole(gang, observed):
         return Verdict.ADOPT
-    if gang.epoch == 0 or not complete or now < gang.not_before:
+    if gang.epoch == 0 or gang.fenced:
+        return Verdict.WAIT
+    if not complete or now < gang.not_before:
         return Verdict.WAIT
     if any(m.confirmed for m in observed) and not gang.was_extended:
         return Verdict.COUNTED
--- a/src/cardamomdyke/gangs/calls.py
+++ b/src/cardamomdyke/gangs/calls.py
@@ -91,6 +91,11 @@
     match gang.phase:
         case Phase.QUEUED if gang.epoch == 0:
             return RequestClaim(1, Stage.QUEUED, (), take=False)
+        case Phase.QUEUED if gang.fenced:
+            # The claim home refuses this if another planner took the later epoch there.
+            # Else no claim tells what that planner did, so this one names no servers.
+            stage = Stage.EXTENDING if gang.was_extended else Stage.STARTING
+            return RequestClaim(gang.epoch + 1, stage, (), take=True)
         case Phase.CLAIMING:
             return RequestClaim(gang.epoch + 1, Stage.STARTING, servers, take=True)
         case Phase.MARKING:
--- a/src/cardamomdyke/gangs/machine.py
+++ b/src/cardamomdyke/gangs/machine.py
@@ -58,6 +58,7 @@
     Phase,
     Placed,
     PreemptionRequested,
+    ReleaseFenced,
     RequestClaim,
     Stage,
     Superseded,
@@ -185,6 +186,7 @@
         pending_claim=None,
         suspect_servers=(),
         unknown_history=False,
+        fenced=False,
         was_extended=True,
         started_at=min(gang.started_at, now),
     )
@@ -193,13 +195,20 @@
 
 @apply_event.register
 def _(event: SuspectServersCleared, gang: Gang, now: float) -> Gang:
-    if gang.phase is not Phase.QUEUED or now < gang.not_before:
+    if gang.phase is not Phase.QUEUED or gang.fenced or now < gang.not_before:
         return gang
     if gang.was_extended and not gang.repeatable:
         return abandon_attempt(gang, f"the gang of {gang.job_id} lost its planner", now)
     return replace(gang, suspect_servers=(), unknown_history=False, was_extended=False)
 
 
+@apply_event.register
+def _(event: ReleaseFenced, gang: Gang, now: float) -> Gang:
+    if gang.phase is not Phase.QUEUED or event.epoch < gang.epoch:
+        return gang
+    return replace(gang, fenced=True)
+
+
 @apply_event.register
 def _(event: PartialGangFound, gang: Gang, now: float) -> Gang:
     if gang.phase is not Phase.QUEUED:
@@ -249,6 +258,8 @@
         return enter(gang, Phase.RESERVING, now)
     if gang.phase is Phase.MARKING and pending_claim.stage is Stage.EXTENDING:
         return enter(gang, Phase.EXTENDING, now)
+    if gang.phase is Phase.QUEUED and gang.fenced:
+        return suspect_all_servers(gang, now)
     return gang
 
 
@@ -292,5 +303,19 @@
         not_before=now + TAKEOVER_WAIT_SECONDS,
         suspect_servers=event.servers,
         was_extended=event.stage is Stage.EXTENDING,
-        unknown_history=False,
+        # A planner that may have started members names their servers if it knows them.
+        unknown_history=event.stage is not Stage.QUEUED and not event.servers,
     )
+
+
+def suspect_all_servers(gang: Gang, now: float) -> Gang:
+    """Return a fenced gang that took the next epoch, with an unknown history.
+
+    The claim home does not know the planner whose epoch a backend server knows, so no
+    claim names that planner's servers. Its calls have no effect `TAKEOVER_WAIT_SECONDS`
+    after the first such take; later ones need no second wait.
+    """
+    not_before = gang.not_before
+    if not gang.unknown_history or not_before == float("-inf"):
+        not_before = max(not_before, now + TAKEOVER_WAIT_SECONDS)
+    return replace(gang, fenced=False, unknown_history=True, not_before=not_before)
--- a/src/cardamomdyke/gangs/state.py
+++ b/src/cardamomdyke/gangs/state.py
@@ -170,7 +170,10 @@
         Backend servers on which a previous planner may have started members.
     unknown_history : bool
         True while no claim tells what a previous planner did: the claim home
-        restarted, or the previous planner never reached it.
+        restarted, the previous planner never reached it, or a backend server knows a
+        later epoch than the claim home.
+    fenced : bool
+        True after a suspect server refused a release, until the next epoch is taken.
     was_extended : bool
         True when a new start might repeat work that already counted.
     placements : tuple of MemberPlacement
@@ -213,6 +216,7 @@
     not_before: float = float("-inf")
     suspect_servers: tuple[str, ...] = ()
     unknown_history: bool = False
+    fenced: bool = False
     was_extended: bool = False
     placements: tuple[MemberPlacement, ...] = ()
     borrowed: bool = False
@@ -364,6 +368,19 @@
     """No suspect server holds a member, and all know the new epoch."""
 
 
+@dataclass(frozen=True, slots=True)
+class ReleaseFenced:
+    """A suspect server knows a later epoch and refused to release members.
+
+    Attributes
+    ----------
+    epoch : int
+        Epoch of the refused call.
+    """
+
+    epoch: int
+
+
 @dataclass(frozen=True, slots=True)
 class PartialGangFound:
     """Members of a previous planner were extended, but not all can be adopted."""
@@ -379,6 +396,7 @@
     | EndRecorded
     | Adopted
     | SuspectServersCleared
+    | ReleaseFenced
     | PartialGangFound
 )
 
--- a/tests/gangs/model.py
+++ b/tests/gangs/model.py
@@ -27,6 +27,7 @@
     PartialGangFound,
     Phase,
     Placed,
+    ReleaseFenced,
     RequestClaim,
     Stage,
     Superseded,
@@ -192,6 +193,7 @@
         elif verdict is Verdict.CLEAR:
             for name in sorted(wanted | {r.placement.server for r in observed}):
                 if not self.release_all(planner, name):
+                    self.feed(planner, ReleaseFenced(gang.epoch))
                     return
             self.feed(planner, SuspectServersCleared())
 
