Say in the claim that a queued job's history is not known

Cause: a planner that takes over a job without a claim (the claim home restarted) reads all backend servers before it starts the job, but stored a claim that said queued, without servers. When it died before it had read them, the next planner took the job for one that nobody had started. A claim refreshed at a new home likewise said queued while suspect servers were not cleared.

Change: describe_history gives stage and servers of a claim. A stage beyond queued without servers says that they are not known, as after a refused release.

Conclusion: after the loss of a claim and a planner, a queued job starts only once all servers of its pool were read. A server that stays silent delays it until it answers or leaves the tables, as it already did for the first planner.

--- a/src/cardamomdyke/daemon/takeover.py
+++ b/src/cardamomdyke/daemon/takeover.py
@@ -22,7 +22,7 @@
 from cardamomdyke.daemon.planner import Planner
 from cardamomdyke.daemon.pools import PlannedJob, check_uncertain
 from cardamomdyke.gangs.adoption import Verdict, adopt_members, classify_members
-from cardamomdyke.gangs.phases import list_servers
+from cardamomdyke.gangs.calls import describe_history
 from cardamomdyke.gangs.state import (
     CancelRequested,
     ObservedMember,
@@ -30,7 +30,6 @@
     Phase,
     ReleaseFenced,
     RequestClaim,
-    Stage,
     SuspectServersCleared,
 )
 from cardamomdyke.membership.view import HEARTBEAT_TIMEOUT_SECONDS, Member
@@ -205,10 +204,7 @@
     async def refresh_claim(self, job: PlannedJob) -> None:
         """Place the claim of one job at all of its homes."""
         gang = job.gang
-        stage = Stage.STARTING if gang.placements else Stage.QUEUED
-        if gang.was_extended:
-            stage = Stage.EXTENDING
-        request = RequestClaim(gang.epoch, stage, list_servers(gang), take=False)
+        request = RequestClaim(gang.epoch, *describe_history(gang), take=False)
         answer = await self.planner.caller.request_claim(
             gang, job.specification, request
         )
--- a/src/cardamomdyke/gangs/calls.py
+++ b/src/cardamomdyke/gangs/calls.py
@@ -90,12 +90,12 @@
     servers = list_servers(gang)
     match gang.phase:
         case Phase.QUEUED if gang.epoch == 0:
-            return RequestClaim(1, Stage.QUEUED, (), take=False)
+            return RequestClaim(1, *describe_history(gang), take=False)
         case Phase.QUEUED if gang.fenced:
             # The claim home refuses this if another planner took the later epoch there.
             # Else no claim tells what that planner did, so this one names no servers.
-            stage = Stage.EXTENDING if gang.was_extended else Stage.STARTING
-            return RequestClaim(gang.epoch + 1, stage, (), take=True)
+            history = describe_history(replace(gang, unknown_history=True))
+            return RequestClaim(gang.epoch + 1, *history, take=True)
         case Phase.CLAIMING:
             return RequestClaim(gang.epoch + 1, Stage.STARTING, servers, take=True)
         case Phase.MARKING:
@@ -109,6 +109,20 @@
     return None
 
 
+def describe_history(gang: Gang) -> tuple[Stage, tuple[str, ...]]:
+    """Return stage and servers that tell a later planner what may have started.
+
+    A stage beyond ``QUEUED`` without servers says that they are not known.
+    """
+    servers = list_servers(gang) or gang.suspect_servers
+    if gang.unknown_history:
+        servers = ()
+    if gang.was_extended:
+        return Stage.EXTENDING, servers
+    may_have_started = bool(servers) or gang.unknown_history
+    return (Stage.STARTING if may_have_started else Stage.QUEUED), servers
+
+
 def needs_end_mark(gang: Gang) -> bool:
     """Return whether the job's end must still be recorded in its claim."""
     if gang.end_marked or gang.epoch == 0 or gang.ending is None:
--- a/tests/daemon/test_fenced_takeovers.py
+++ b/tests/daemon/test_fenced_takeovers.py
@@ -150,3 +150,26 @@
         assert planner.jobs[JOB_ID].gang == before
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("suspects", "unknown", "stage", "servers"),
+    [
+        (("w1", "w2"), False, Stage.STARTING, ("w1", "w2")),
+        ((), True, Stage.STARTING, ()),
+        ((), False, Stage.QUEUED, ()),
+    ],
+)
+def test_refreshed_claim_keeps_the_suspect_servers(
+    suspects: tuple[str, ...], unknown: bool, stage: Stage, servers: tuple[str, ...]
+) -> None:
+    """Guards against a new claim home that says that nobody started a queued job."""
+
+    async def run() -> None:
+        takeover, planner, caller, _ = make_uncertain_takeover()
+        job = planner.jobs[JOB_ID]
+        job.gang = replace(job.gang, suspect_servers=suspects, unknown_history=unknown)
+        await takeover.refresh_claim(job)
+        assert caller.claims[-1] == RequestClaim(3, stage, servers, take=False)
+
+    asyncio.run(run())
