Ask names of the peer that knows them, and introduce a VM at its start

Callers saw: while the VMs of a failure domain were replaced in turn, a request with an idempotency key got "not known", kind peer_unreachable, "no live VM is known in failure domain gent", after its deadline of 4 s, although a VM of gent ran (KNOWN-RED.txt, test_all_vms_are_replaced_one_by_one_under_load). Cause: a restarted VM introduced itself to two VMs a round at most, and its first round had no VM list. A VM that had its heartbeat without its name asked the next random peer for the name, and stopped asking when that one did not know it either. When the rest of the failure domain then shut down, which every VM is told at once, others knew only VMs that drain. Change: names that either side of an exchange lacks are exchanged with the same peer at once. After its first read of the VM list a VM runs one round and then exchanges state with all other entry VMs. In its first rounds it sends its own name only. Tests: the simulation of the configuration tests can deliver gossip now, and a VM's peer address there is its name. No check changed. Worse: a started VM makes one exchange with each other entry VM; 96 at the large site.

--- a/src/cardamomdyke/daemon/gossip.py
+++ b/src/cardamomdyke/daemon/gossip.py
@@ -50,7 +50,7 @@
 SMALL_DEPLOYMENT_VMS = 14
 MAX_BATCH_HEARTBEATS = 64
 MAX_BATCH_ORDERS = 8
-# In its first rounds a VM sends the names of all VMs that it knows.
+# In its first rounds a VM sends its own name.
 INTRODUCTION_ROUNDS = 3
 
 
@@ -67,7 +67,7 @@
     heartbeat : int
         Number of rounds; 0 before the first.
     wants_members : bool
-        True after a peer reported a VM whose name is unknown here.
+        True if the last peer reported a VM whose name is unknown here.
     """
 
     node: Node
@@ -80,7 +80,10 @@
         while True:
             result = await self.node.vmlist.read_machines()
             if result.is_ok():
+                is_first = not self.node.machines
                 self.node.machines = {m.name: m for m in result.ok}
+                if is_first:
+                    await self.announce_start()
             else:
                 self.node.counters.count("vmlist.read_failed")
             await asyncio.sleep(VM_LIST_PERIOD_SECONDS if self.node.machines else 0.2)
@@ -88,11 +91,15 @@
     async def gossip_forever(self) -> None:
         """Exchange views with random peers periodically, until cancelled."""
         while True:
-            self.increment_heartbeat()
-            peers = self.choose_peers()
-            await asyncio.gather(*(self.exchange(peer) for peer in peers))
+            await self.run_round()
             await asyncio.sleep(GOSSIP_PERIOD_SECONDS)
 
+    async def run_round(self) -> None:
+        """Exchange views with random peers once."""
+        self.increment_heartbeat()
+        peers = self.choose_peers()
+        await asyncio.gather(*(self.exchange(peer) for peer in peers))
+
     def increment_heartbeat(self) -> None:
         """Increment this VM's heartbeat in its own view."""
         self.heartbeat += 1
@@ -135,6 +142,15 @@
         chosen += sample(machines, min(count, len(machines)))
         return list({machine.name: machine for machine in chosen}.values())
 
+    async def announce_start(self) -> None:
+        """Learn the names of the other entry VMs, and introduce this VM to all.
+
+        Random exchanges take several rounds; meanwhile others would know no live VM
+        of this failure domain if the rest of them shut down.
+        """
+        await self.run_round()
+        await self.announce_state()
+
     async def announce_state(self) -> None:
         """Send this VM's state directly to all other entry VMs.
 
@@ -154,6 +170,9 @@
     async def exchange(self, peer: Machine) -> bool:
         """Exchange views with one peer and fetch a newer configuration.
 
+        Names that either side lacks are exchanged at once: the next peer, chosen at
+        random, may not know them.
+
         Returns
         -------
         bool
@@ -161,7 +180,10 @@
         """
         sent_at = self.node.clock()
         request = make_gossip(
-            self.node, self.wants_members, self.check_introduction_due()
+            self.node,
+            self.wants_members,
+            includes_members=False,
+            introduces_self=self.check_introduction_due(),
         )
         result = await self.node.peers.exchange_gossip(peer.peer_address, request)
         self.count_bytes(request)
@@ -171,20 +193,24 @@
         self.count_bytes(result.ok)
         self.merge_gossip(result.ok, sent_at)
         merge_reply_evidence(self.node, result.ok, sent_at)
-        if result.ok.wants_members:
-            await self.introduce_members(peer)
+        if result.ok.wants_members or self.wants_members:
+            await self.exchange_names(peer, result.ok.wants_members)
         if self.store.needs_peer():
             await self.store.catch_up(peer.peer_address)
         return True
 
-    async def introduce_members(self, peer: Machine) -> None:
-        """Send the names of all live VMs to a peer.
+    async def exchange_names(self, peer: Machine, peer_wants_members: bool) -> None:
+        """Send the names of all live VMs to a peer, and get those unknown here.
 
-        Without the platform's list, it may know nobody to request them from.
+        Without the platform's list, the peer may know nobody to request them from.
         """
-        message = make_gossip(self.node, False, includes_members=True)
-        self.count_bytes(message)
-        await self.node.peers.exchange_gossip(peer.peer_address, message)
+        sent_at = self.node.clock()
+        request = make_gossip(self.node, self.wants_members, peer_wants_members)
+        self.count_bytes(request)
+        result = await self.node.peers.exchange_gossip(peer.peer_address, request)
+        if result.is_ok():
+            self.count_bytes(result.ok)
+            self.merge_gossip(result.ok, sent_at)
 
     def check_introduction_due(self) -> bool:
         """Return True while peers may not know this VM's name."""
@@ -269,6 +295,7 @@
     wants_members: bool,
     includes_members: bool,
     known: Iterable[Heartbeat] = (),
+    introduces_self: bool = False,
 ) -> Gossip:
     """Make a gossip message from a node's view.
 
@@ -282,6 +309,8 @@
         True to send the names of all VMs.
     known : iterable of Heartbeat
         Heartbeats that the receiver already has.
+    introduces_self : bool
+        True to send at least the name of this VM.
 
     Returns
     -------
@@ -289,7 +318,11 @@
         A request or a reply.
     """
     now = node.clock()
-    members = list_live(node.view, now) if includes_members else []
+    members: list[Member] = []
+    if includes_members:
+        members = list_live(node.view, now)
+    elif introduces_self:
+        members = [node.view.members[node.settings.vm]]
     orders = sample(node.orders, min(len(node.orders), MAX_BATCH_ORDERS))
     heartbeats = choose_heartbeats(node.view, now, MAX_BATCH_HEARTBEATS, known)
     return Gossip(
--- a/tests/configuration/simulation.py
+++ b/tests/configuration/simulation.py
@@ -1,5 +1,6 @@
 """Several VMs' configuration code on a virtual clock, log and network."""
 
+import asyncio
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from types import SimpleNamespace
@@ -144,8 +145,16 @@
             return Error(TransportFault(TransportFaultKind.NOT_SENT, "cut"))
         return Ok(await world.vms[address].gossiper.answer_configuration(call))
 
+    async def exchange_gossip(address: str, gossip: Any) -> Any:
+        # Another call may be sent before this one arrives.
+        await asyncio.sleep(0)
+        if address not in world.vms or not world.reach_peer(name, address):
+            return Error(TransportFault(TransportFaultKind.NOT_SENT, "cut"))
+        return Ok(await world.vms[address].gossiper.answer_gossip(gossip))
+
     unused: Any = None
-    settings = Settings(name, name.split("-")[0], "c:1", "p:1", "", "")
+    # A VM is called by its name.
+    settings = Settings(name, name.split("-")[0], "c:1", name, "", "")
     node = Node(
         settings=settings,
         origins={},
@@ -155,7 +164,9 @@
         backend=unused,
         log=SimpleNamespace(read_records=read_records),
         vmlist=unused,
-        peers=SimpleNamespace(fetch_configuration=fetch_configuration),
+        peers=SimpleNamespace(
+            fetch_configuration=fetch_configuration, exchange_gossip=exchange_gossip
+        ),
         counters=Counters(),
         timeline=Timeline(name, lambda: world.now),
     )
