Set libcurl's timers on the steady clock

Callers saw: nothing that was traced to it. A call could last as long as a step of the wall clock instead of its timeout. Cause: tornado's curl client adds libcurl's delay to the wall clock, and its loop takes the wall clock off again. If the clock is set back between the two readings, the timer is late by the step; a call that waits for its first timer is then neither sent nor ended by its timeout. Change: SteadyTimerClient sets the timers on the event loop's steady clock; make_http_client returns it. Figures: test_call_ends_although_the_wall_clock_is_set_back fails before for an answer and for silence (neither call ends in 100 turns of 0.05 s) and passes after. Conclusion: one way in which a read outlasts its own timeout is closed.

--- a/src/cardamomdyke/adapters/http.py
+++ b/src/cardamomdyke/adapters/http.py
@@ -5,12 +5,14 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 from math import ceil
+from typing import cast
 
 import pycurl
 from expression import Error, Ok, Result
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders, HTTPInputError
+from tornado.platform.asyncio import BaseAsyncIOLoop
 
 MAX_CLIENTS = 256
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -173,6 +175,23 @@
     stall_timeout_seconds: float = 0.0
 
 
+class SteadyTimerClient(CurlAsyncHTTPClient):
+    """A curl client whose timers do not depend on the wall clock.
+
+    Tornado converts libcurl's delay to a time of the wall clock and back. If the clock
+    is set back in between, the timer is late by the step, and a call is neither sent
+    nor ended by its timeout until then.
+    """
+
+    def _set_timeout(self, msecs: int) -> None:
+        if self._timeout is not None:
+            self.io_loop.remove_timeout(self._timeout)
+        # libcurl asks to delete its timer with -1, which tornado handles as 0 ms.
+        delay_seconds = max(msecs, 0) / 1000.0
+        loop = cast(BaseAsyncIOLoop, self.io_loop).asyncio_loop
+        self._timeout = loop.call_later(delay_seconds, self._handle_timeout)
+
+
 def make_http_client(source_host: str = "") -> CurlAsyncHTTPClient:
     """Create a curl client for the running event loop.
 
@@ -187,7 +206,7 @@
         A new client, which shares no connections with others.
     """
     defaults = {"network_interface": source_host} if source_host else {}
-    return CurlAsyncHTTPClient(
+    return SteadyTimerClient(
         force_instance=True, max_clients=MAX_CLIENTS, defaults=defaults
     )
 
