Wait for the log before a deployment of stand-ins puts its tables in force

Seen: a setup error of test_frozen_planner_that_wakes_does_no_harm at a load average of 28, once; its output was lost. By its logs both VMs were told to stop 0.06 s after the second one had started, without a configuration in force. Cause: the first edit was sent when the daemons answered, although the log might not serve yet, which refuses the edit with 503. Change: the start of the platform waits until the log accepts connections. Conclusion: the race is shown and closed; that it caused the setup error is suspected, since the traceback was lost.

--- a/src/cardamomdyke_standins/deployment.py
+++ b/src/cardamomdyke_standins/deployment.py
@@ -106,6 +106,9 @@
         for pool in self.example["tables"]["pools"]:
             for server in pool["servers"]:
                 self.start_backend(server, INITIAL_AGE_SECONDS)
+        # Edits are refused until the log serves.
+        log_host, _, log_port = self.find_standin_address("log").rpartition(":")
+        wait_until(lambda: check_port(log_host, int(log_port)))
         address = self.example["vmlist_address"]
         wait_until(lambda: try_http("GET", f"http://{address}/v1/machines") is not None)
         send_http(
