--- a/tests/planner/world.py
+++ b/tests/planner/world.py
@@ -627,7 +627,9 @@
 
     def wake_poll(self, planner: Planner, name: str) -> None:
         """Poll a server without its pause, as after an order in the control loop."""
-        if name in planner.due_polls and not planner.state.servers[name].failing_since:
+        server = planner.state.servers.get(name)
+        waits = server is not None and not server.failing_since
+        if waits and name in planner.due_polls:
             self.schedule_poll(planner, name, 0.0)
 
     def is_store_reachable(self) -> bool:
