Count guaranteed work as borrowed when it keeps others from their cells

What callers saw: an urgent job within its account's guarantee stayed queued until a gang of another account ended, although that account held more than its guarantee.

Cause: work on an unusable server takes no cell, since it may have ended. When it ran on and the server was back, it counted beside what its account had started meanwhile. Nothing checked then whether all guaranteed cells still had a place, and guaranteed work is never preempted.

Change: each plan first checks that guaranteed work is in cells of its own account and that no cell is missing, unless the usable servers are too few for all guarantees. The gangs whose stops lose the least work count as borrowed until both hold. This is derived at each plan and not stored, so a takeover needs no record, and the work counts as guaranteed again once it fits. Related paths: small cells spread over servers, and work in a part of a rack, could split a larger cell of another account; the same check covers both. Work on servers that are closed to starts for a while takes no cell either; that is not changed here.

The history takes the policy's view instead and checks it: each gang counted as borrowed would add a missing cell, exceed its account's count or share a cell; without lost capacity there is none; no start makes one. The check of missing cells no longer leaves out pools with racks or unequal servers after a loss, nor lost servers while the rest suffices. Bounds are as they were. TestLostServerHistory is new.

The history's model is stricter than before.

--- a/src/cardamomdyke/placement/guarantees.py
+++ b/src/cardamomdyke/placement/guarantees.py
@@ -245,21 +245,14 @@
     accelerators, which complete cells of others may need.
     """
     counts = state.remaining[kind]
-    touched = {
-        server
-        for server, mask in state.guaranteed_work.get(account, {}).items()
-        if mask and server in state.free
-    }
-    for place in list_places(state, kind, touched):
+    for place in list_places_in_use(state, kind, account):
         if not counts[account]:
             return
-        if not has_work(state, account, place):
-            continue
         exclusive = is_exclusive(state, account, place)
         if exclusive and state.unusable.isdisjoint(place):
             counts[account] -= 1
             assign_masks(state, account, place)
-        elif kind.level in (CellLevel.RACK, CellLevel.POOL):
+        elif can_share(kind):
             counts[account] -= 1
             state.partial_cells.append((kind, account, list(place)))
 
@@ -268,11 +261,16 @@
     """Assign to each missing rack or pool what the group with the most has free."""
     groups = list_group_names(state, kind)
     for _ in range(state.remaining[kind][account]):
-        if kind.level in (CellLevel.RACK, CellLevel.POOL) and groups:
+        if can_share(kind) and groups:
             group = max(groups, key=lambda names: count_free(state, names))
             assign_free(state, account, group)
 
 
+def can_share(kind: CellKind) -> bool:
+    """Return whether cells may be partial, so that others have work in the rest."""
+    return kind.level in (CellLevel.RACK, CellLevel.POOL)
+
+
 def list_group_names(state: AssignmentState, kind: CellKind) -> list[list[str]]:
     """Return the server names of each rack or of the pool."""
     if kind.level is CellLevel.POOL:
@@ -291,6 +289,19 @@
     assign_masks(state, account, masks)
 
 
+def list_places_in_use(
+    state: AssignmentState, kind: CellKind, account: str
+) -> list[ServerMasks]:
+    """Return the places of a cell kind with work of an account on usable servers."""
+    touched = {
+        server
+        for server, mask in state.guaranteed_work.get(account, {}).items()
+        if mask and server in state.free
+    }
+    places = list_places(state, kind, touched)
+    return [place for place in places if has_work(state, account, place)]
+
+
 def has_work(state: AssignmentState, account: str, place: ServerMasks) -> bool:
     """Return whether an account's guaranteed work overlaps a place."""
     guaranteed_work = state.guaranteed_work[account]
@@ -505,6 +516,45 @@
     return assign_cells(pool, find_guaranteed_work(placed), unusable).missing
 
 
+def check_within_guarantees(
+    pool: Pool, placed: Iterable[PlacedGang], unusable: frozenset[str] = frozenset()
+) -> bool:
+    """Return whether all guaranteed work is in cells of its own account's guarantee.
+
+    Parameters
+    ----------
+    pool : Pool
+        Capacity and guarantees.
+    placed : iterable of PlacedGang
+        Borrowed gangs and work on unusable servers need no cell.
+    unusable : frozenset of str
+        Backend servers that accept no new tasks.
+
+    Returns
+    -------
+    bool
+        False when an account has work in more cells than it is guaranteed, outside of
+        cells, or in a backend server or block that others have work in.
+    """
+    work = find_guaranteed_work(placed)
+    state = make_assignment_state(pool, work, unusable, Preference())
+    for kind, counts in state.remaining.items():
+        for account, count in counts.items():
+            places = list_places_in_use(state, kind, account)
+            if len(places) > count:
+                return False
+            for place in places:
+                if not (can_share(kind) or is_exclusive(state, account, place)):
+                    return False
+                assign_masks(state, account, place)
+    return not any(
+        mask & ~state.assigned.get(account, {}).get(server, 0)
+        for account, masks in work.items()
+        for server, mask in masks.items()
+        if server in state.free
+    )
+
+
 def find_short_guarantees(
     pool: Pool, unusable: frozenset[str], placed: Iterable[PlacedGang] = ()
 ) -> tuple[str, ...]:
--- a/src/cardamomdyke/placement/plan.py
+++ b/src/cardamomdyke/placement/plan.py
@@ -42,7 +42,8 @@
     placements : tuple of MemberPlacement
         One entry per member.
     borrowed : bool
-        True when it runs outside its client account's guarantee.
+        True when it was placed outside its client account's guarantee, or no longer
+        fits in it.
     started_at : float
         Steady-clock time of its start, in seconds.
     checkpoint_age_seconds : float
--- a/src/cardamomdyke/placement/policy.py
+++ b/src/cardamomdyke/placement/policy.py
@@ -12,6 +12,7 @@
     reserve_members,
 )
 from cardamomdyke.placement.cells import ServerMasks, make_pool_masks
+from cardamomdyke.placement.excess import mark_excess
 from cardamomdyke.placement.plan import (
     PlacedGang,
     PlannedStart,
@@ -77,6 +78,7 @@
 @plan_pool.register
 def plan_cells(policy: CellPolicy, state: PoolState, now: float) -> PoolPlan:
     """Plan guaranteed work by urgency and arrival, then borrowed work by arrival."""
+    state = mark_excess(state, now, policy.restart_seconds)
     draft = plan_guaranteed_jobs(policy, state, now)
     if not draft.delayed:
         plan_borrowed(draft)
--- a/tests/placement/test_plan_histories.py
+++ b/tests/placement/test_plan_histories.py
@@ -14,6 +14,7 @@
 
 from cardamomdyke.model.jobs import Adjacency, JobSpecification
 from cardamomdyke.model.tables import CellLevel, Guarantee, Pool
+from cardamomdyke.placement.excess import mark_excess
 from cardamomdyke.placement.guarantees import (
     find_missing_cells,
     find_missing_guarantees,
@@ -34,6 +35,7 @@
 )
 
 HISTORIES = 1000
+LOST_SERVER_HISTORIES = 300
 STEPS = 25
 ACCOUNTS = ("a", "b", "c")
 LAYOUTS = (
@@ -154,6 +156,48 @@
     return sum(bool(place & work) for place in list_places(state.pool, row))
 
 
+def exceeds_cells(state: PoolState) -> bool:
+    """Return whether an account's guaranteed work is in more cells than it has."""
+    return any(
+        count_cells_in_use(state, row) > row.count for row in merge_rows(state.pool)
+    )
+
+
+def shares_cells(state: PoolState) -> bool:
+    """Return whether accounts have guaranteed work in one server or block cell.
+
+    A rack can be shared by work that was placed while it was not whole.
+    """
+    work: dict[str, set[tuple[str, int]]] = {}
+    for gang in state.placed:
+        held = work.setdefault(gang.specification.client_account, set())
+        for placement in gang.placements:
+            if not gang.borrowed and placement.server not in state.unusable:
+                held.update((placement.server, i) for i in placement.accelerators)
+    return any(
+        place & work.get(row.client_account, set()) and place & held
+        for row in merge_rows(state.pool)
+        if row.level is not CellLevel.RACK
+        for place in list_places(state.pool, row)
+        for account, held in work.items()
+        if account != row.client_account
+    )
+
+
+def check_excess(state: PoolState, marked: PoolState) -> None:
+    """Check that no gang is counted as borrowed that could stay guaranteed work."""
+    assert len(marked.placed) == len(state.placed)
+    for number, gang in enumerate(state.placed):
+        counted = marked.placed[number]
+        if counted == gang:
+            continue
+        assert counted == replace(gang, borrowed=True)
+        before, after = marked.placed[:number], marked.placed[number + 1 :]
+        kept = replace(marked, placed=(*before, gang, *after))
+        adds_missing = count_missing(kept) > count_missing(marked)
+        assert adds_missing or exceeds_cells(kept) or shares_cells(kept)
+
+
 class PoolHistory(RuleBasedStateMachine):
     """Random sequences of arrivals, ends, failures and late reports."""
 
@@ -171,7 +215,6 @@
         self.state = PoolState(pool, (), ())
         self.now = 100.0
         self.count = 0
-        self.uniform = len({s.accelerators for s in pool.servers}) == 1
         self.lost_capacity = False
 
     @rule(
@@ -196,12 +239,33 @@
 
     @rule()
     def plan(self) -> None:
-        """Carry out a plan, which must not add missing cells."""
-        before = count_missing(self.state)
-        plan = plan_pool(self.policy, self.state, self.now)
-        check_plan(self.state, plan)
-        self.state = apply_plan(self.state, plan, self.now)
-        assert count_missing(self.state) <= before
+        """Carry out a plan."""
+        self.state = self.carry_out_plan(self.state, self.now)
+
+    def carry_out_plan(self, state: PoolState, now: float) -> PoolState:
+        """Return the state after a plan.
+
+        Guards against starts that add missing cells, or that exceed a guarantee and
+        would only then count as borrowed.
+        """
+        marked = self.mark_excess(state, now)
+        plan = plan_pool(self.policy, state, now)
+        check_plan(marked, plan)
+        planned = apply_plan(marked, plan, now)
+        assert count_missing(planned) <= count_missing(marked)
+        assert not exceeds_cells(planned) and not shares_cells(planned)
+        return apply_plan(state, plan, now)
+
+    def mark_excess(self, state: PoolState, now: float) -> PoolState:
+        """Return the state as the policy sees it.
+
+        Guards against guaranteed work that is made preemptible without a need. Only
+        lost capacity can lead to work beyond a guarantee.
+        """
+        marked = mark_excess(state, now, self.policy.restart_seconds)
+        assert self.lost_capacity or marked == state
+        check_excess(state, marked)
+        return marked
 
     @rule(seconds=st.sampled_from([0.1, 1.0, 70.0, 4000.0]))
     def wait(self, seconds: float) -> None:
@@ -217,10 +281,12 @@
         leave several smaller ones missing. So the count is only checked if it was 0.
         """
         gang = data.draw(st.sampled_from(self.state.placed))
-        before = count_missing(self.state)
+        marked = self.mark_excess(self.state, self.now)
         kept = tuple(g for g in self.state.placed if g is not gang)
         self.state = replace(self.state, placed=kept)
-        assert before or count_missing(self.state) == 0
+        left = tuple(g for g in marked.placed if g.job_id != gang.job_id)
+        left_missing = count_missing(replace(marked, placed=left))
+        assert count_missing(marked) or left_missing == 0
 
     @precondition(lambda self: any(g.stopping for g in self.state.placed))
     @rule(data=st.data())
@@ -266,15 +332,14 @@
     def hold_guarantees(self) -> None:
         """Guards against work in cells that other accounts are guaranteed.
 
-        Guaranteed work that moved while capacity was lost is not stopped when it
-        is back. It can keep a larger server than it needs, or a part of a rack that
-        another account is guaranteed as a whole. Such pools are not checked.
+        While the usable servers are too few for all guarantees, cells are missing
+        anyway; then no account may have work in more cells than it is guaranteed, or
+        in those of others.
         """
-        racks = any(g.level is CellLevel.RACK for g in self.state.pool.guarantees)
-        movable = self.uniform and not racks
-        if self.state.unusable or (self.lost_capacity and not movable):
-            return
-        assert count_missing(self.state) == 0
+        state = self.mark_excess(self.state, self.now)
+        assert not exceeds_cells(state) and not shares_cells(state)
+        if not find_missing_cells(state.pool, (), state.unusable):
+            assert count_missing(state) == 0
 
     @rule()
     def reclaim(self) -> None:
@@ -288,8 +353,8 @@
 
     def check_reclaim(self) -> None:
         """Check that accounts without missing cells can all claim their unused ones."""
-        pool, unusable = self.state.pool, self.state.unusable
-        missing = find_missing_cells(pool, self.state.placed, unusable)
+        pool, marked = self.state.pool, self.mark_excess(self.state, self.now)
+        missing = find_missing_cells(pool, marked.placed, marked.unusable)
         short = {cells.client_account for cells in missing}
         probes = tuple(
             QueuedJob(
@@ -297,26 +362,44 @@
             )
             for row in merge_rows(pool)
             if row.client_account not in short
-            for number in range(row.count - count_cells_in_use(self.state, row))
+            for number in range(row.count - count_cells_in_use(marked, row))
         )
         busy = {*ACCOUNTS} - {job.specification.client_account for job in probes}
         others = tuple(
             job for job in self.state.queued if job.specification.client_account in busy
         )
         state = replace(self.state, queued=others + probes)
-        first = plan_pool(self.policy, state, self.now)
-        check_plan(state, first)
-        state = apply_plan(state, first, self.now)
+        state = self.carry_out_plan(state, self.now)
         stopping = {g.job_id for g in state.placed if g.stopping}
         state = requeue_gangs(state, stopping, self.now)
-        second = plan_pool(self.policy, state, self.now + 1.0)
-        check_plan(state, second)
-        state = apply_plan(state, second, self.now + 1.0)
-        started = {g.job_id for g in state.placed if not g.borrowed}
+        state = self.carry_out_plan(state, self.now + 1.0)
+        placed = self.mark_excess(state, self.now + 1.0).placed
+        started = {g.job_id for g in placed if not g.borrowed}
         assert {job.job_id for job in probes} <= started
 
 
-PoolHistory.TestCase.settings = settings(
+class LostServerHistory(PoolHistory):
+    """Histories in which jobs often start while others run on on a lost server."""
+
+    @rule(
+        data=st.data(),
+        account=st.sampled_from(ACCOUNTS),
+        size=st.sampled_from([1, 2, 4, 8]),
+        jobs=st.integers(1, 3),
+    )
+    def lose_server_for_a_while(
+        self, data: st.DataObject, account: str, size: int, jobs: int
+    ) -> None:
+        """Lose a backend server, queue jobs, and return a lost server."""
+        self.lose_server(data=data, runs_on=True)
+        self.hold_guarantees()
+        for _ in range(jobs):
+            self.submit(account, size, 1, "none", True)
+            self.hold_guarantees()
+        self.return_server(data=data)
+
+
+HISTORY_SETTINGS = settings(
     max_examples=HISTORIES,
     stateful_step_count=STEPS,
     deadline=None,
@@ -326,4 +409,9 @@
     phases=(Phase.generate,),
     report_multiple_bugs=False,
 )
+PoolHistory.TestCase.settings = HISTORY_SETTINGS
+LostServerHistory.TestCase.settings = settings(
+    HISTORY_SETTINGS, max_examples=LOST_SERVER_HISTORIES
+)
 TestPoolHistory = PoolHistory.TestCase
+TestLostServerHistory = LostServerHistory.TestCase
