Check guaranteed work against edits of the guarantees

What callers saw: nothing reported; docs/guarantees.md listed guaranteed work beyond a guarantee that an edit had lowered as not proved.

Work that was placed within a guarantee kept its flag when the tables changed, and nothing compared the two.

Change: none of the product; the check before each plan covers it. EditHistory adds random edits to the histories of a pool. The test's own count of cells now also finds work of an account without a guarantee, and work outside of all cells.

Conclusion: an edit that lowers a guarantee makes the work beyond it preemptible at the next plan.

--- a/tests/placement/test_plan_histories.py
+++ b/tests/placement/test_plan_histories.py
@@ -36,6 +36,7 @@
 
 HISTORIES = 1000
 LOST_SERVER_HISTORIES = 300
+EDIT_HISTORIES = 300
 STEPS = 25
 ACCOUNTS = ("a", "b", "c")
 LAYOUTS = (
@@ -156,11 +157,25 @@
     return sum(bool(place & work) for place in list_places(state.pool, row))
 
 
+def find_guaranteed_work(state: PoolState) -> dict[str, set[tuple[str, int]]]:
+    """Return the usable accelerators of guaranteed work, by client account."""
+    work: dict[str, set[tuple[str, int]]] = {}
+    for gang in state.placed:
+        held = work.setdefault(gang.specification.client_account, set())
+        for placement in gang.placements:
+            if not gang.borrowed and placement.server not in state.unusable:
+                held.update((placement.server, i) for i in placement.accelerators)
+    return work
+
+
 def exceeds_cells(state: PoolState) -> bool:
-    """Return whether an account's guaranteed work is in more cells than it has."""
-    return any(
-        count_cells_in_use(state, row) > row.count for row in merge_rows(state.pool)
-    )
+    """Return whether guaranteed work is in more cells than its account has, or none."""
+    rows = {row.client_account: row for row in merge_rows(state.pool)}
+    for account, held in find_guaranteed_work(state).items():
+        places = list_places(state.pool, rows[account]) if account in rows else []
+        if held - set().union(*places):
+            return True
+    return any(count_cells_in_use(state, row) > row.count for row in rows.values())
 
 
 def shares_cells(state: PoolState) -> bool:
@@ -168,12 +183,7 @@
 
     A rack can be shared by work that was placed while it was not whole.
     """
-    work: dict[str, set[tuple[str, int]]] = {}
-    for gang in state.placed:
-        held = work.setdefault(gang.specification.client_account, set())
-        for placement in gang.placements:
-            if not gang.borrowed and placement.server not in state.unusable:
-                held.update((placement.server, i) for i in placement.accelerators)
+    work = find_guaranteed_work(state)
     return any(
         place & work.get(row.client_account, set()) and place & held
         for row in merge_rows(state.pool)
@@ -198,24 +208,29 @@
         assert adds_missing or exceeds_cells(kept) or shares_cells(kept)
 
 
+def add_guarantees(pool: Pool, rows: list[Guarantee]) -> Pool:
+    """Return the pool with those of the rows that fit together."""
+    for row in rows:
+        size = row.accelerators if row.level is CellLevel.ACCELERATORS else 0
+        row = replace(row, accelerators=size)
+        wider = replace(pool, guarantees=(*pool.guarantees, row))
+        if not find_missing_guarantees(wider):
+            pool = wider
+    return pool
+
+
 class PoolHistory(RuleBasedStateMachine):
     """Random sequences of arrivals, ends, failures and late reports."""
 
     @initialize(layout=st.sampled_from(LAYOUTS), rows=st.lists(ROWS, max_size=5))
     def open_pool(self, layout: list[list[int]], rows: list[Guarantee]) -> None:
         """Create a pool with the drawn guarantees that fit."""
-        pool = make_pool(layout)
-        for row in rows:
-            size = row.accelerators if row.level is CellLevel.ACCELERATORS else 0
-            row = replace(row, accelerators=size)
-            wider = replace(pool, guarantees=(*pool.guarantees, row))
-            if not find_missing_guarantees(wider):
-                pool = wider
+        pool = add_guarantees(make_pool(layout), rows)
         self.policy = make_default_policy()
         self.state = PoolState(pool, (), ())
         self.now = 100.0
         self.count = 0
-        self.lost_capacity = False
+        self.may_exceed = False
 
     @rule(
         account=st.sampled_from(ACCOUNTS),
@@ -260,10 +275,10 @@
         """Return the state as the policy sees it.
 
         Guards against guaranteed work that is made preemptible without a need. Only
-        lost capacity can lead to work beyond a guarantee.
+        lost capacity or an edit can lead to work beyond a guarantee.
         """
         marked = mark_excess(state, now, self.policy.restart_seconds)
-        assert self.lost_capacity or marked == state
+        assert self.may_exceed or marked == state
         check_excess(state, marked)
         return marked
 
@@ -312,7 +327,7 @@
         """Make a backend server unusable; with `runs_on`, its gangs keep running."""
         name = data.draw(st.sampled_from([s.name for s in self.state.pool.servers]))
         self.state = replace(self.state, unusable=self.state.unusable | {name})
-        self.lost_capacity = True
+        self.may_exceed = True
         if not runs_on:
             ended = {
                 g.job_id
@@ -378,6 +393,17 @@
         assert {job.job_id for job in probes} <= started
 
 
+class EditHistory(PoolHistory):
+    """Histories in which operators also edit the guarantees."""
+
+    @rule(rows=st.lists(ROWS, max_size=5))
+    def edit_guarantees(self, rows: list[Guarantee]) -> None:
+        """Replace all guarantees by those of the rows that fit."""
+        pool = replace(self.state.pool, guarantees=())
+        self.state = replace(self.state, pool=add_guarantees(pool, rows))
+        self.may_exceed = True
+
+
 class LostServerHistory(PoolHistory):
     """Histories in which jobs often start while others run on on a lost server."""
 
@@ -413,5 +439,7 @@
 LostServerHistory.TestCase.settings = settings(
     HISTORY_SETTINGS, max_examples=LOST_SERVER_HISTORIES
 )
+EditHistory.TestCase.settings = settings(HISTORY_SETTINGS, max_examples=EDIT_HISTORIES)
 TestPoolHistory = PoolHistory.TestCase
 TestLostServerHistory = LostServerHistory.TestCase
+TestEditHistory = EditHistory.TestCase
