List a reclaim that fails while a server is avoided

What callers see: an urgent job within its account's guarantee stays queued while a backend server is avoided for a job that failed there.

Cause: avoided servers, and servers closed beside a suspect start, count as unusable, so work there takes no cell although it is known to run. Its account can start as much again as guaranteed work elsewhere.

Conclusion: open.

--- a/tests/daemon/test_returned_servers.py
+++ b/tests/daemon/test_returned_servers.py
@@ -1,4 +1,4 @@
-"""Guaranteed jobs whose backend servers are lost for a while and return."""
+"""Guaranteed jobs on backend servers that are lost or closed to starts for a while."""
 
 import asyncio
 import time
@@ -50,9 +50,11 @@
     planner.inventories.newest[name] = reading
 
 
-def add_job(planner: Planner, job_id: str, account: str) -> PlannedJob:
+def add_job(
+    planner: Planner, job_id: str, account: str, accelerators: int = 2
+) -> PlannedJob:
     specification = JobSpecification(
-        account, "order-desk", 2, repeatable=True, urgent=account == "b"
+        account, "order-desk", accelerators, repeatable=True, urgent=account == "b"
     )
     return planner.add_job(job_id, POOL.name, specification, time.time(), is_new=True)
 
@@ -92,3 +94,26 @@
         assert sorted(map(is_running, (first, second))) == [False, True]
 
     asyncio.run(run())
+
+
+def test_account_reclaims_its_servers_while_another_one_is_avoided() -> None:
+    """Guards against a second guarantee beside work on a server closed to starts.
+
+    A job that had failed on the server waited, so the server was avoided and the work
+    there took no cell. The second job of `a` then took one that `b` is guaranteed.
+    """
+
+    async def run() -> None:
+        planner = make_guaranteed_planner()
+        first = add_job(planner, "gent.1", "a")
+        await step_until(planner, lambda: is_running(first))
+        avoided = first.gang.placements[0].server
+        failed = add_job(planner, "gent.c", "c", accelerators=3)
+        failed.gang = replace(failed.gang, failed_servers=(avoided,))
+        second = add_job(planner, "gent.2", "a")
+        await step_until(planner, lambda: is_running(second))
+        assert second.gang.placements[0].server != avoided
+        urgent = [add_job(planner, f"gent.b{number}", "b") for number in range(2)]
+        await step_until(planner, lambda: all(is_running(job) for job in urgent))
+
+    asyncio.run(run())
