Let an error beside the placement of one job end no planner's term

Cause: the report of waiting units and the closing of servers before guaranteed jobs ran outside plan_safely, so an unexpected error in them would end the term of each planner (by reading, and by the review). Change: both run for one job at a time under plan_safely.

--- a/src/cardamomdyke/planner/claims.py
+++ b/src/cardamomdyke/planner/claims.py
@@ -6,7 +6,7 @@
 
 from cardamomdyke.model.orders import StepOrder
 from cardamomdyke.planner.attempts import abort_attempt
-from cardamomdyke.planner.crashes import find_live_unit, is_suspect
+from cardamomdyke.planner.crashes import is_suspect
 from cardamomdyke.planner.drafts import (
     Draft,
     clear_unplaceable,
@@ -54,20 +54,17 @@
             close_reserved(draft, job, unit)
 
 
-def close_before_guaranteed(draft: Draft) -> None:
-    """Close the servers of waiting suspect units before guaranteed jobs are placed.
+def close_before_guaranteed(draft: Draft, job: Job) -> None:
+    """Close the servers of a job's waiting suspect units before guaranteed jobs.
 
     Long-running units may wait in a full pool, where guarantees go first.
     """
-    for job_id, key in sorted(draft.state.suspect_units):
-        unit = find_live_unit(draft.state, job_id, key)
-        if unit is None or not unit.reserved_servers:
+    by_name = find_pool_capacity(draft, job.record.pool).by_name
+    for unit in job.units.values():
+        if not unit.reserved_servers or job.find_step(unit).long_running:
             continue
-        job = draft.state.jobs[job_id]
-        by_name = find_pool_capacity(draft, job.record.pool).by_name
         usable = all(name in by_name for name in unit.reserved_servers)
-        lasts = job.find_step(unit).long_running
-        ready = usable and not lasts and is_ready(job, unit, draft.now)
+        ready = usable and is_ready(job, unit, draft.now)
         if ready and may_close_ahead(draft, job, unit):
             close_reserved(draft, job, unit)
 
--- a/src/cardamomdyke/planner/drafts.py
+++ b/src/cardamomdyke/planner/drafts.py
@@ -82,6 +82,8 @@
         Number of tasks for which a pool has room, measured at first use.
     closures : dict of (str, UnitKey) to tuple of str
         Servers that are closed to all but a suspect unit, by job id and unit.
+    pending_lines : int
+        Lines written for waiting units in this pass.
     settled : set of str or None
         Servers on which every run has outlived its start; None until first used.
     """
@@ -102,6 +104,7 @@
     used_shares: dict[str, float] = field(default_factory=dict)
     rooms: dict[Requirements, int] = field(default_factory=dict)
     closures: dict[tuple[str, UnitKey], tuple[str, ...]] = field(default_factory=dict)
+    pending_lines: int = 0
     settled: set[str] | None = None
 
 
--- a/src/cardamomdyke/planner/pending.py
+++ b/src/cardamomdyke/planner/pending.py
@@ -56,31 +56,30 @@
     PREVIOUS_RUN = "previous_run"
 
 
-def report_pending(draft: Draft) -> None:
-    """Log the units that wait for long, once for each reason.
+def begin_report(state: PlannerState, now: float) -> bool:
+    """Begin a report if one is due; return whether it is."""
+    if now - state.pending_reported_at < REPORT_PERIOD_SECONDS:
+        return False
+    state.pending_reported_at = now
+    return True
+
+
+def report_pending(draft: Draft, job: Job) -> None:
+    """Log the units of a job that wait for long, once for each reason.
 
     Of the units of one step that wait for the same reason, the first stands for all.
     """
-    state, now = draft.state, draft.now
-    if now - state.pending_reported_at < REPORT_PERIOD_SECONDS:
-        return
-    state.pending_reported_at = now
-    lines = 0
-    for job in state.jobs.values():
-        if job.is_final:
+    reported: set[tuple[int, str]] = set()
+    for unit, reason, since in list_pending(draft.state, job, draft.now):
+        key = (unit.key[1], reason)
+        if draft.now - since < REPORT_AFTER_SECONDS or key in reported:
+            continue
+        reported.add(key)
+        if unit.reported_reason == reason or draft.pending_lines == MAX_LINES:
             continue
-        reported: set[tuple[int, str]] = set()
-        for unit, reason, since in list_pending(state, job, now):
-            key = (unit.key[1], reason)
-            if now - since < REPORT_AFTER_SECONDS or key in reported:
-                continue
-            reported.add(key)
-            if unit.reported_reason != reason:
-                unit.reported_reason = reason
-                note_pending(draft, job, unit, reason, since)
-                lines += 1
-                if lines == MAX_LINES:
-                    return
+        unit.reported_reason = reason
+        draft.pending_lines += 1
+        note_pending(draft, job, unit, reason, since)
 
 
 def list_pending(
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -35,7 +35,7 @@
     choose_isolated_servers,
 )
 from cardamomdyke.planner.occurrences import update_occurrences
-from cardamomdyke.planner.pending import PendingReason, report_pending
+from cardamomdyke.planner.pending import PendingReason, begin_report, report_pending
 from cardamomdyke.planner.placement import PoolCapacity, fits_all, take_capacity
 from cardamomdyke.planner.quotas import (
     check_allowance,
@@ -83,7 +83,10 @@
     # capacity that a guaranteed one has just reclaimed. Capacity reserved for a
     # guaranteed job goes to no other job, that of another urgent job to no job
     # without a guarantee.
-    close_before_guaranteed(draft)
+    suspect_ids = {job_id for job_id, _ in state.suspect_units}
+    for job in others:
+        if job.job_id in suspect_ids:
+            plan_safely(draft, job, close_before_guaranteed)
     for group in (covered, others):
         for plan_job in (hold_reservations, place_job):
             for job in group:
@@ -91,7 +94,9 @@
     for job in ranked:
         plan_safely(draft, job, move_long_running)
     forget_set_aside(state, now)
-    report_pending(draft)
+    if begin_report(state, now):
+        for job in ranked:
+            plan_safely(draft, job, report_pending)
 
 
 def plan_safely(draft: Draft, job: Job, plan_job: Callable[[Draft, Job], None]) -> None:
