--- a/review/second/harness.py
+++ b/review/second/harness.py
@@ -55,6 +55,12 @@
 }
 
 
+# The rule asks for a running task within this time while half of the pool is idle.
+IDLE_SECONDS = 3.0
+WATCHED_SECONDS = 12.0
+STORE_LIMITS = {"record_bytes": 262_144, "request_bytes": 2_097_152}
+
+
 def make_route(name: str, prefix: str, priority: int, attempts: int) -> dict[str, Any]:
     """Return a queue of the configuration."""
     return {
@@ -134,9 +140,11 @@
         with self.lock, self.record_path.open("a") as file:
             file.write(f"{time.monotonic() - self.began_at:9.3f} {text}\n")
 
-    def start(self, capacity: dict[str, int]) -> None:
+    def start(self, capacity: dict[str, int], checkpoint_length: int = 0) -> None:
         """Start all processes and wait until the daemons are ready."""
         plan = {
+            "limits": STORE_LIMITS,
+            "checkpoint_length": checkpoint_length,
             "store": self.store,
             "control": self.control,
             "servers": self.servers,
@@ -206,8 +214,7 @@
                 "writes_per_s": 600,
                 "reads_per_s": 2000,
                 "parts": 12,
-                "record_bytes": 262_144,
-                "request_bytes": 2_097_152,
+                **STORE_LIMITS,
                 "keep_s": 20,
                 "min_ttl_ms": 1000,
             },
@@ -430,6 +437,59 @@
     return found
 
 
+def find_idle_span(events: list[dict[str, Any]], begin: float, end: float) -> float:
+    """Return the longest span between two times in which nothing ran anywhere."""
+    marks = [
+        (e["at"], 1 if e["kind"] == "start" else -1)
+        for e in events
+        if e["kind"] in ("start", "end")
+    ]
+    longest, idle_since, running = 0.0, begin, 0
+    for at, change in [*sorted(marks), (end, 1)]:
+        if not running:
+            longest = max(longest, min(at, end) - idle_since)
+        running += change
+        if not running:
+            idle_since = max(begin, at)
+    return longest
+
+
+def find_idle_jobs(deployment: Deployment, jobs: dict[str, str]) -> list[str]:
+    """Ask for jobs after the end of the traffic, and return those that stand still.
+
+    A job stands still if it has not ended although, for `IDLE_SECONDS`, nothing ran on
+    any server.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        The deployment, whose servers have room for the jobs twice over.
+    jobs : dict of str to str
+        Path prefix of each job, by id.
+    """
+    time.sleep(float(BOUNDS["finish_s"]))
+    asked_at = time.monotonic() - deployment.began_at
+    time.sleep(WATCHED_SECONDS)
+    reader = next(iter(deployment.hosts))
+    states = {
+        job_id: deployment.read_state(reader, job_id, prefix)
+        for job_id, prefix in jobs.items()
+    }
+    asked_until = time.monotonic() - deployment.began_at
+    deployment.record_events()
+    span = find_idle_span(deployment.read_events(), asked_at, asked_until)
+    deployment.record(f"jobs were asked for from {asked_at:.3f} s on")
+    deployment.record(f"longest span without a run since then: {span:.3f} s")
+    if span < IDLE_SECONDS:
+        return []
+    return [
+        f"job {job_id} is {state or 'not known'}, and nothing ran on any server for "
+        f"{span:.1f} s"
+        for job_id, state in states.items()
+        if state not in ("completed", "failed", "cancelled")
+    ]
+
+
 def run_case(
     directory: Path,
     servers: int,
@@ -447,7 +507,7 @@
     code = 2
     try:
         deployment.record(f"disruption is {'on' if TROUBLE else 'off'}")
-        deployment.start(options["capacity"])
+        deployment.start(**options)
         breaks = play(deployment)
         for line in breaks:
             deployment.record(f"BROKEN {line}")
--- a/review/second/standin.py
+++ b/review/second/standin.py
@@ -27,13 +27,36 @@
     RefusedError,
     Run,
 )
-from cardamomdyke_standins.platform_store import Store, make_store_application
+from cardamomdyke_standins.platform_store import (
+    AppendHandler,
+    Store,
+    make_store_application,
+    split_body,
+)
 
 HEARTBEAT_SECONDS = 1.5
 SILENT_HEARTBEATS = 3
 TICK_SECONDS = 0.01
 
 
+@dataclass
+class PaddedServer(PlatformServer):
+    """A backend server whose checkpoints have a given length.
+
+    Attributes
+    ----------
+    checkpoint_length : int
+        Number of characters of a checkpoint; 0 for the project's own form.
+    """
+
+    checkpoint_length: int = 0
+
+    def find_checkpoint(self, item: Run, now: float) -> str:
+        """Return the newest checkpoint of a run; empty without one."""
+        text = super().find_checkpoint(item, now)
+        return text.rjust(self.checkpoint_length, "0") if text else ""
+
+
 @dataclass
 class World:
     """Everything that the stand-in holds.
@@ -202,6 +225,23 @@
                 )
 
 
+class LimitedAppendHandler(AppendHandler):
+    """``POST /log-append`` that refuses records over the store's limits."""
+
+    plan: dict[str, Any]
+
+    def post(self) -> None:
+        """Append the records, or refuse all of them."""
+        sizes = [len(content) for content in split_body(self.request.body)]
+        largest, total = max(sizes, default=0), sum(sizes)
+        limits = self.plan["limits"]
+        if largest > limits["record_bytes"] or total > limits["request_bytes"]:
+            self.set_status(400)
+            self.finish(b"{}")
+            return
+        super().post()
+
+
 class ControlHandler(RequestHandler):
     """``PUT`` crashes, restarts or delays; ``GET`` lists the events."""
 
@@ -236,6 +276,15 @@
     world.store.put("keyed.servers", server.name, entry)
 
 
+def make_store(world: World) -> Application:
+    """Create the web application of the store."""
+    control = FaultControl()
+    application = make_store_application(world.store, control)
+    arguments = {"control": control, "store": world.store, "plan": world.plan}
+    application.add_handlers(r".*", [(r"/log-append", LimitedAppendHandler, arguments)])
+    return application
+
+
 def listen(application: Application, address: str) -> None:
     """Listen on ``host:port``."""
     host, _, port = address.rpartition(":")
@@ -252,7 +301,7 @@
 def make_server(world: World, number: int, name: str) -> PlatformServer:
     """Create a backend server that has been up for some time."""
     capacity = world.plan["capacity"]
-    server = PlatformServer(
+    server = PaddedServer(
         name,
         world.cluster,
         Shape(
@@ -264,6 +313,7 @@
         failure_domain=find_zone(world, number),
         born_at=time.monotonic() - 60.0,
         instance=round(time.time() * 1000) - 60_000,
+        checkpoint_length=world.plan["checkpoint_length"],
     )
     world.cluster.servers[name] = server
     return server
@@ -275,7 +325,7 @@
     world.store.put("keyed.op", "config", encode(plan["tables"]))
     world.cluster.on_start = world.record_start
     world.cluster.on_end = world.record_end
-    listen(make_store_application(world.store, FaultControl()), plan["store"])
+    listen(make_store(world), plan["store"])
     control = Application(
         [(r"/(\w+)/(.*)", ControlHandler, {"world": world})],
         log_function=lambda handler: None,
