--- a/review/second/standin.py
+++ b/review/second/standin.py
@@ -73,6 +73,10 @@
         What happened at the servers, in order.
     late_orders : dict of str to float
         Delay by server name of the next start order, which gets no answer.
+    late_polls : dict of str to float
+        The same of the next poll that takes note of an end.
+    cut : set of str
+        Servers that no call reaches, and whose answers are lost.
     """
 
     plan: dict[str, Any]
@@ -80,6 +84,8 @@
     cluster: Cluster = field(default_factory=Cluster)
     events: list[dict[str, Any]] = field(default_factory=list)
     late_orders: dict[str, float] = field(default_factory=dict)
+    late_polls: dict[str, float] = field(default_factory=dict)
+    cut: set[str] = field(default_factory=set)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def note(self, kind: str, server: str, **facts: object) -> None:
@@ -116,7 +122,14 @@
             self.set_status(421)
             self.finish(b"{}")
             return
+        if self.server.name in self.world.cut:
+            await asyncio.Event().wait()
         body = decode(self.request.body)
+        if call == "hold" and body["last_seen"] and self.takes_late_poll():
+            delay = self.world.late_polls.pop(self.server.name)
+            task = asyncio.ensure_future(self.poll_late(body, delay))
+            self.world.tasks.add(task)
+            await asyncio.Event().wait()
         if call == "run-start" and self.server.name in self.world.late_orders:
             delay = self.world.late_orders.pop(self.server.name)
             task = asyncio.ensure_future(self.start_late(body, delay))
@@ -135,6 +148,8 @@
         if not self.server.up:
             self.request.connection.stream.close()  # type: ignore[union-attr]
             return
+        if self.server.name in self.world.cut:
+            await asyncio.Event().wait()
         clock = self.server.read_clock(time.monotonic())
         answer["clock_ms"] = round(clock * 1000)
         answer["born"] = self.server.instance
@@ -156,6 +171,26 @@
             result = refusal.kind.value
         self.world.note("late_order_carried_out", name, result=result, **facts)
 
+    def takes_late_poll(self) -> bool:
+        """Return whether the next poll that takes note of an end is to be late."""
+        return self.server.name in self.world.late_polls
+
+    async def poll_late(self, body: dict[str, Any], delay: float) -> None:
+        """Carry out a poll late, on what then answers to the same id."""
+        name = self.server.name
+        facts = {"last_seen": body["last_seen"]}
+        self.world.note("poll_left_unanswered", name, delay=delay, **facts)
+        await asyncio.sleep(delay)
+        if not self.server.up:
+            self.world.note("late_poll_lost", name, **facts)
+            return
+        try:
+            await self.poll({**body, "wait_ms": 0})
+            result = "carried out"
+        except RefusedError as refusal:
+            result = refusal.kind.value
+        self.world.note("late_poll_carried_out", name, result=result, **facts)
+
     def start(self, body: dict[str, Any]) -> None:
         """Start a run."""
         self.server.start(
@@ -267,6 +302,14 @@
             self.world.note("restart", name, born=server.instance)
         elif call == "late":
             self.world.late_orders[name] = decode(self.request.body)
+        elif call == "late_poll":
+            self.world.late_polls[name] = decode(self.request.body)
+        elif call == "cut":
+            self.world.cut.add(name)
+            self.world.note("cut", name)
+        elif call == "heal":
+            self.world.cut.discard(name)
+            self.world.note("heal", name)
         self.finish(b"{}")
 
 
@@ -309,7 +352,7 @@
             capacity["task_memory_mb"],
             capacity["accelerators"],
         ),
-        rack=f"r{number // 8}",
+        rack=f"r{number // world.plan['rack_servers']}",
         failure_domain=find_zone(world, number),
         born_at=time.monotonic() - 60.0,
         instance=round(time.time() * 1000) - 60_000,
