--- a/review/second/standin.py
+++ b/review/second/standin.py
@@ -220,7 +220,8 @@
         until = time.monotonic() + body.get("wait_ms", 0) / 1000.0
         lease = body.get("deadline_ms")
         instance = self.server.instance
-        self.note_ends(body["last_seen"])
+        if body["fencing_token"] >= self.server.fence:
+            self.note_ends(body["last_seen"])
         while True:
             now = time.monotonic()
             running, ended = self.server.poll(
