Record each unit by itself where a job's progress exceeds a record

A job of 94 tasks with checkpoints of 3,000 characters stopped the work of all client accounts for good: its tasks had ended and it stayed "running", and later jobs stayed "queued" beside 24 idle servers.

Cause: a job's progress was one record that nothing compared with record_bytes of the settings. The store refuses a larger one, and the planner appended the changes of all jobs in one call that it repeated until it was confirmed.

Change: progress above the limit is stored as one record for each unit, of which only changed ones are written again; a value that is still too large is stored in fragments, listed by its record (jobs/layout.py). Progress that fits is the same record as before. Each job is recorded for itself (planner/recording.py): starts are sent and ends acknowledged once that job's records are stored, and a job that takes several appends leaves room for the others in each. The stand-in store refuses records and appends above its limits, as the users' store does.

Why this works: no record exceeds the limit, whatever grows (width, checkpoints, members, crash lists, occurrences). Units are written before the job's head and removed after it, so a planner that takes over between two appends restores each unit as it was recorded last or as it was being recorded.

--- a/src/cardamomdyke/control/app.py
+++ b/src/cardamomdyke/control/app.py
@@ -98,7 +98,7 @@
         work_feed,
         retention,
         metrics,
-        Appender(store, settings.store.append_limit_bytes),
+        Appender(store, settings.store.limits.append_bytes),
     )
 
 
@@ -120,10 +120,7 @@
         planner_runner.handle_change(change)
 
     def reset() -> None:
-        context.ledger.jobs.clear()
-        context.ledger.cancelled.clear()
-        context.ledger.progress.clear()
-        context.ledger.withdrawals.clear()
+        context.ledger.clear()
         context.retention.clear()
 
     context.work_feed.apply = apply
--- a/src/cardamomdyke/control/driver.py
+++ b/src/cardamomdyke/control/driver.py
@@ -1,6 +1,7 @@
 """Runs the planner of one term: decisions, records and calls."""
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable, Coroutine
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
@@ -17,8 +18,8 @@
 from cardamomdyke.control.leadership import Leadership
 from cardamomdyke.control.recorder import Recorder
 from cardamomdyke.control.supervision import log_crash
+from cardamomdyke.jobs.layout import RecordLimits, measure_append
 from cardamomdyke.jobs.ledger import Change, ChangeKind
-from cardamomdyke.jobs.records import PROGRESS_PREFIX, encode_progress
 from cardamomdyke.jobs.retention import list_keys, list_withdrawal_keys
 from cardamomdyke.membership.peers import HEARTBEAT_KEY, PEER_PREFIX
 from cardamomdyke.model.orders import TaskId
@@ -42,11 +43,11 @@
     make_poll_order,
     update_servers,
 )
-from cardamomdyke.planner.progress import (
-    Batch,
-    add_job,
-    handle_recorded,
-    take_batch,
+from cardamomdyke.planner.progress import add_job
+from cardamomdyke.planner.recording import (
+    ProgressAppend,
+    handle_appended,
+    take_append,
 )
 from cardamomdyke.planner.replies import (
     expire_starts,
@@ -70,6 +71,8 @@
 UNLEASED_POLL_SECONDS = 0.05
 FAILING_POLL_SECONDS = 0.3
 RECORD_WAIT_SECONDS = 0.3
+# Name of the records that belong to no job in progress.
+OTHER_RECORDS = ""
 # Concurrent starts and stops on one backend server; each new connection has a cost.
 MAX_CONCURRENT_ORDERS = 3
 
@@ -98,6 +101,10 @@
         State of the planner.
     lost_candidates : list of str
         VMs whose announcements are to be removed.
+    removals : deque of KeyedRecord
+        Removals of jobs and withdrawals that wait for the next appends.
+    removing : bool
+        True if the last append could hold removals.
     heartbeat_at : float
         Time of the last heartbeat, in seconds of `read_clock`.
     recorded : asyncio.Event
@@ -117,6 +124,8 @@
     directory: ServerDirectory
     state: PlannerState
     lost_candidates: list[str] = field(default_factory=list)
+    removals: deque[KeyedRecord] = field(default_factory=deque)
+    removing: bool = False
     heartbeat_at: float = 0.0
     inputs_changed: asyncio.Event = field(default_factory=asyncio.Event)
     recorded: asyncio.Event = field(default_factory=asyncio.Event)
@@ -471,15 +480,45 @@
             self.context.journal.count("store.append_awaited")
 
     def start_recording(self) -> None:
-        """Append all changes, unless an append is in flight."""
+        """Append changes, unless an append is in flight.
+
+        What does not fit into this append follows in the next.
+        """
         if self.recording:
             return
-        batch = take_batch(self.state)
-        other_records = [*self.list_removals(), *self.list_heartbeats()]
-        if batch is None and not other_records:
+        limits = self.context.settings.store.limits
+        other_records = self.take_other_records(limits.append_bytes // 2)
+        entries = [(record.key, record.value) for record in other_records]
+        room = limits.append_bytes - measure_append(entries)
+        append = take_append(
+            self.state, RecordLimits(limits.record_bytes, room), read_clock()
+        )
+        # Progress that cannot be encoded is reported at once.
+        self.perform_actions()
+        if append is None and not other_records:
             return
         self.recording = True
-        self.spawn(self.record_batch(batch or Batch({}, (), {}), other_records))
+        self.spawn(self.record_append(append or ProgressAppend({}), other_records))
+
+    def take_other_records(self, limit_bytes: int) -> list[KeyedRecord]:
+        """Return heartbeats and removals that are due, within a limit.
+
+        Only each other append has removals, so that those of large jobs leave room for
+        the largest record.
+        """
+        taken = self.list_heartbeats()
+        self.removing = not self.removing
+        if not self.removing:
+            return taken
+        if not self.removals:
+            self.removals += self.list_removals()
+        room = limit_bytes
+        while self.removals:
+            room -= measure_append([(self.removals[0].key, b"")])
+            if room < 0:
+                break
+            taken.append(self.removals.popleft())
+        return taken
 
     def list_heartbeats(self) -> list[KeyedRecord]:
         """Return the heartbeat and removals of lost candidates, when due."""
@@ -508,22 +547,23 @@
         keys += list_withdrawal_keys(context.retention.take_due_withdrawals(now))
         return [KeyedRecord(key, b"") for key in keys]
 
-    async def record_batch(
-        self, batch: Batch, other_records: list[KeyedRecord]
+    async def record_append(
+        self, append: ProgressAppend, other_records: list[KeyedRecord]
     ) -> None:
-        """Append one batch and perform the actions that depend on it."""
-        records = [
-            KeyedRecord(PROGRESS_PREFIX + job_id, encode_progress(progress))
-            for job_id, progress in batch.progress.items()
-        ]
-        records += other_records
-        stored = await self.recorder.record(records) if records else True
+        """Append progress and other records, and perform what depends on them."""
+        groups = {
+            job_id: [KeyedRecord(key, value) for key, value in entries]
+            for job_id, entries in append.entries.items()
+        }
+        if other_records:
+            groups[OTHER_RECORDS] = other_records
+        result = await self.recorder.record(groups)
         self.recording = False
-        if not stored:
+        if result.is_error():
             if self.is_current:
                 self.leadership.end_term("a later planner has taken over")
             return
-        handle_recorded(self.state, batch, read_clock())
+        handle_appended(self.state, append, result.ok, read_clock())
         self.perform_actions()
         self.recorded.set()
         self.recorded = asyncio.Event()
--- a/src/cardamomdyke/control/terms.py
+++ b/src/cardamomdyke/control/terms.py
@@ -38,7 +38,6 @@
         context.store,
         context.journal,
         fence,
-        context.settings.store.append_limit_bytes,
         lambda: leadership.term == fence,
     )
     if not await recorder.fence_earlier_terms():
--- a/src/cardamomdyke/jobs/records.py
+++ b/src/cardamomdyke/jobs/records.py
@@ -15,6 +15,10 @@
 PROGRESS_PREFIX = "p"
 # A cancellation of an id without a job; its value is the epoch of the withdrawal.
 WITHDRAWAL_PREFIX = "w"
+# A unit of a job whose progress does not fit into one record.
+UNIT_PREFIX = "u"
+# A part of a value that does not fit into one record.
+FRAGMENT_PREFIX = "f"
 # Index of a unit that is a whole gang.
 GANG_INDEX = -1
 
@@ -159,6 +163,8 @@
         Occurrences with smaller numbers are done.
     closed : tuple of int
         Later occurrences that are done.
+    split : bool
+        True if the units have records of their own, and `units` is empty.
     """
 
     phase: JobPhase
@@ -167,10 +173,12 @@
     units: tuple[UnitRecord, ...] = ()
     closed_below: int = 0
     closed: tuple[int, ...] = ()
+    split: bool = False
 
 
 _JOB_DECODER = Decoder(JobRecord)
 _PROGRESS_DECODER = Decoder(JobProgress)
+_UNIT_DECODER = Decoder(UnitRecord)
 
 
 def encode_job(record: JobRecord) -> bytes:
@@ -197,3 +205,16 @@
         return Ok(_PROGRESS_DECODER.decode(data))
     except DECODE_ERRORS as error:
         return Error(str(error))
+
+
+def encode_unit(unit: UnitRecord) -> bytes:
+    """Encode the progress of a unit."""
+    return encode(unit)
+
+
+def decode_unit(data: bytes) -> Result[UnitRecord, str]:
+    """Decode the progress of a unit; the error says why it cannot be read."""
+    try:
+        return Ok(_UNIT_DECODER.decode(data))
+    except DECODE_ERRORS as error:
+        return Error(str(error))
--- a/src/cardamomdyke/jobs/retention.py
+++ b/src/cardamomdyke/jobs/retention.py
@@ -98,11 +98,15 @@
 def list_keys(ledger: Ledger, job_id: str) -> list[str]:
     """Return a job's keys in the store, in the order of removal.
 
-    The accepted job goes first, so that it never lacks its progress.
+    The accepted job goes first, so that it never lacks its progress. The record of the
+    progress goes last: while it is there, the removal of the others is tried again.
     """
     keys = [JOB_PREFIX + job_id] if job_id in ledger.jobs else []
     if job_id in ledger.cancelled:
         keys.append(CANCELLATION_PREFIX + job_id)
+    parts = ledger.parts.get(job_id)
+    if parts is not None:
+        keys += [*parts.units, *parts.values]
     if job_id in ledger.progress:
         keys.append(PROGRESS_PREFIX + job_id)
     return keys
--- a/src/cardamomdyke/planner/inputs.py
+++ b/src/cardamomdyke/planner/inputs.py
@@ -1,10 +1,11 @@
-"""What the planner remembers of arrivals, shares and lapsed runs, and its limits.
+"""What the planner remembers of arrivals, shares, runs and records, and its limits.
 
 Times are seconds on the daemon's steady clock.
 """
 
 from dataclasses import dataclass
 
+from cardamomdyke.jobs.layout import Entry, StoredProgress
 from cardamomdyke.model.orders import StepOrder, TaskId
 
 # Occurrence, step, and index of the task or `GANG_INDEX`.
@@ -116,6 +117,69 @@
     next_try_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class UnrecordedEnd:
+    """An end of a run whose effect on its job is not recorded yet.
+
+    Attributes
+    ----------
+    number : int
+        Number of the end on its server.
+    job_id : str
+        Job of the run.
+    revision : int
+        Revision of the job's progress that has to be recorded first.
+    """
+
+    number: int
+    job_id: str
+    revision: int
+
+
+@dataclass(slots=True)
+class ProgressWrite:
+    """Progress of a job that is being appended, in one append or several.
+
+    Attributes
+    ----------
+    job_id : str
+        Id of the job.
+    revision : int
+        Revision of the progress.
+    entries : list of Entry
+        Records to append, in order.
+    appended : int
+        Number of entries that are stored.
+    stored : StoredProgress
+        What the store holds once all entries are stored.
+    starts : tuple of (UnitKey, int)
+        Unit and run number of attempts to start afterwards.
+    """
+
+    job_id: str
+    revision: int
+    entries: list[Entry]
+    stored: StoredProgress
+    starts: tuple[tuple[UnitKey, int], ...]
+    appended: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RefusedProgress:
+    """Progress of a job that the store does not take.
+
+    Attributes
+    ----------
+    detail : str
+        Answer of the store.
+    next_try_at : float
+        When it is appended again, in steady-clock seconds.
+    """
+
+    detail: str
+    next_try_at: float
+
+
 @dataclass(slots=True)
 class ShareBalance:
     """Jobs that an account may submit now within its share.
--- a/src/cardamomdyke/planner/polls.py
+++ b/src/cardamomdyke/planner/polls.py
@@ -12,6 +12,7 @@
     RunReport,
     ServerEntry,
 )
+from cardamomdyke.planner.acknowledgements import hold_end
 from cardamomdyke.planner.actions import PollOrder, SendStop
 from cardamomdyke.planner.attempts import (
     abort_attempt,
@@ -204,6 +205,7 @@
         if end.number > server.processed_end:
             handle_run_end(state, server, end, now)
             server.processed_end = end.number
+            hold_end(state, server, end.task.job_id)
     present = set()
     for report in lists.running:
         present.add((report.task, report.run))
@@ -239,7 +241,8 @@
     if not previous:
         return
     state.note("server.reborn", server.entry.name, former=previous, life=lists.instance)
-    server.processed_end = server.acknowledged = server.confirmed_end = 0
+    server.processed_end = server.confirmed_end = 0
+    server.unrecorded_ends.clear()
     server.unknown_runs.clear()
     clear_suspicion(server)
     for job, unit, member in list_holders(state, server):
--- a/src/cardamomdyke/planner/progress.py
+++ b/src/cardamomdyke/planner/progress.py
@@ -1,8 +1,6 @@
-"""Progress records: written while planning, and restored after a takeover."""
+"""Progress of jobs: converted to records, and restored after a takeover."""
 
-from dataclasses import dataclass
-
-from cardamomdyke.jobs.ledger import Ledger
+from cardamomdyke.jobs.ledger import Ledger, find_stored, read_progress
 from cardamomdyke.jobs.records import (
     FINAL_PHASES,
     GANG_INDEX,
@@ -14,11 +12,9 @@
 )
 from cardamomdyke.model.orders import Shape
 from cardamomdyke.model.servers import ServerEntry
-from cardamomdyke.planner.actions import SendStart
 from cardamomdyke.planner.attempts import abort_attempt, cancel_job, end_job
 from cardamomdyke.planner.crashes import list_suspect_indices
 from cardamomdyke.planner.headroom import record_arrival
-from cardamomdyke.planner.inputs import UnitKey
 from cardamomdyke.planner.occurrences import open_next, open_occurrences
 from cardamomdyke.planner.shares import check_share
 from cardamomdyke.planner.state import (
@@ -33,25 +29,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Batch:
-    """Progress to record in one append, and what it allows.
-
-    Attributes
-    ----------
-    progress : dict of str to JobProgress
-        Progress by job id.
-    starts : tuple of (str, UnitKey, int)
-        Job id, unit and run number of attempts to start afterwards.
-    processed_ends : dict of str to (int, int)
-        Instance of each server, and number of its last recorded end of a run.
-    """
-
-    progress: dict[str, JobProgress]
-    starts: tuple[tuple[str, UnitKey, int], ...]
-    processed_ends: dict[str, tuple[int, int]]
-
-
 def make_progress(job: Job, unix_offset: float) -> JobProgress:
     """Create the progress record of a job.
 
@@ -111,71 +88,6 @@
     )
 
 
-def take_batch(state: PlannerState) -> Batch | None:
-    """Return the changes to record and clear their marks; None without changes."""
-    processed_ends = {
-        name: (server.instance, server.processed_end)
-        for name, server in state.servers.items()
-        if server.processed_end > server.acknowledged
-    }
-    if not state.changed and not processed_ends:
-        return None
-    progress: dict[str, JobProgress] = {}
-    starts: list[tuple[str, UnitKey, int]] = []
-    for job_id in state.changed:
-        job = state.jobs[job_id]
-        progress[job_id] = make_progress(job, state.unix_offset)
-        for unit in job.units.values():
-            if unit.attempt is not None and is_planned(unit.attempt):
-                starts.append((job_id, unit.key, unit.attempt.run))
-    state.changed.clear()
-    return Batch(progress, tuple(starts), processed_ends)
-
-
-def is_planned(attempt: Attempt) -> bool:
-    """Check for members whose start waits for the record."""
-    return any(
-        member.phase is MemberPhase.PLANNED for member in attempt.members.values()
-    )
-
-
-def handle_recorded(state: PlannerState, batch: Batch, now: float) -> None:
-    """Send the starts of a recorded batch, and acknowledge its ended runs."""
-    for name, (instance, number) in batch.processed_ends.items():
-        server = state.servers.get(name)
-        if server is not None and server.instance == instance:
-            server.acknowledged = max(server.acknowledged, number)
-    for job_id, key, run in batch.starts:
-        job = state.jobs.get(job_id)
-        attempt = job.units[key].attempt if job is not None else None
-        if job is None or attempt is None or attempt.run != run:
-            continue
-        send_starts(state, job, job.units[key], attempt, now)
-    for job_id in batch.progress:
-        drop_job(state, job_id)
-
-
-def send_starts(
-    state: PlannerState, job: Job, unit: Unit, attempt: Attempt, now: float
-) -> None:
-    """Send the starts of a recorded attempt."""
-    for member in attempt.members.values():
-        if member.phase is MemberPhase.PLANNED:
-            member.phase = MemberPhase.STARTING
-            member.sent_at = now
-            task = job.make_task_id(unit, member.index)
-            state.actions.append(SendStart(member.server, task, attempt.run))
-
-
-def drop_job(state: PlannerState, job_id: str) -> None:
-    """Drop a job that has ended and is recorded, once it has no attempts left."""
-    job = state.jobs.get(job_id)
-    if job is None or not job.is_final or job_id in state.changed:
-        return
-    if all(unit.attempt is None for unit in job.units.values()):
-        del state.jobs[job_id]
-
-
 def add_job(state: PlannerState, record: JobRecord, now: float) -> None:
     """Add a newly accepted job, unless it is known.
 
@@ -205,11 +117,12 @@
     """
     state.known_job_ids.update(ledger.jobs)
     for job_id, record in ledger.jobs.items():
-        progress = ledger.progress.get(job_id)
+        progress = read_progress(ledger, job_id)
         if progress is not None and check_ended(progress):
             continue
         waited = max(0.0, now + state.unix_offset - record.accepted_at)
         job = state.jobs[job_id] = Job(record, now - waited)
+        job.stored = find_stored(ledger, job_id)
         if progress is not None:
             restore_progress(state, job, progress, now)
         open_occurrences(state, job, now)
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from cardamomdyke.jobs.layout import NOTHING_STORED, StoredProgress
 from cardamomdyke.jobs.records import FINAL_PHASES, GANG_INDEX, JobPhase, JobRecord
 from cardamomdyke.model.orders import Shape, StepOrder, TaskId
 from cardamomdyke.model.queues import QueueTables
@@ -16,10 +17,13 @@
 from cardamomdyke.planner.inputs import (
     LapsedRun,
     Limits,
+    ProgressWrite,
+    RefusedProgress,
     RunKey,
     SetAside,
     ShareBalance,
     UnitKey,
+    UnrecordedEnd,
     UnsettledStart,
     UrgentArrival,
 )
@@ -235,6 +239,12 @@
         Unix time of the end, in seconds; 0 before.
     beyond_share : bool
         True if its client account had submitted faster than agreed.
+    revision : int
+        Incremented with each change that must be recorded.
+    recorded_revision : int
+        Revision of the recorded progress.
+    stored : StoredProgress
+        What the store holds of the progress.
     """
 
     record: JobRecord
@@ -246,6 +256,9 @@
     begun: bool = False
     ended_at: float = 0.0
     beyond_share: bool = False
+    revision: int = 0
+    recorded_revision: int = 0
+    stored: StoredProgress = NOTHING_STORED
 
     @property
     def job_id(self) -> str:
@@ -311,8 +324,8 @@
         Time until which nothing is started here, after a refused start.
     processed_end : int
         Number of the last end that the planner processed.
-    acknowledged : int
-        Number of the last end whose effect is recorded.
+    unrecorded_ends : list of UnrecordedEnd
+        Processed ends that wait for their job's record, the earliest first.
     confirmed_end : int
         Number of the last end whose acknowledgement the server confirmed.
     holders : dict of HolderKey to Shape
@@ -341,7 +354,7 @@
     failing_since: float = 0.0
     starts_paused_until: float = 0.0
     processed_end: int = 0
-    acknowledged: int = 0
+    unrecorded_ends: list[UnrecordedEnd] = field(default_factory=list)
     confirmed_end: int = 0
     holders: dict[HolderKey, Shape] = field(default_factory=dict)
     unknown_runs: dict[tuple[TaskId, int], Shape] = field(default_factory=dict)
@@ -350,6 +363,13 @@
     suspect_until: float = 0.0
     suspended_until: float = 0.0
 
+    @property
+    def acknowledged(self) -> int:
+        """Number of the last end up to which the effects of all are recorded."""
+        if self.unrecorded_ends:
+            return self.unrecorded_ends[0].number - 1
+        return self.processed_end
+
 
 @dataclass(slots=True)
 class PlannerState:
@@ -376,6 +396,10 @@
         Backend servers by name.
     changed : dict of str to None
         Ids of jobs whose progress must be recorded, in order.
+    writes : dict of str to ProgressWrite
+        Progress that is being appended, by job id.
+    refused : dict of str to RefusedProgress
+        Jobs whose progress the store has refused, by id.
     unix_offset : float
         Unix time minus time on the steady clock, in seconds.
     actions : list of Action
@@ -411,6 +435,8 @@
     known_job_ids: set[str] = field(default_factory=set)
     servers: dict[str, Server] = field(default_factory=dict)
     changed: dict[str, None] = field(default_factory=dict)
+    writes: dict[str, ProgressWrite] = field(default_factory=dict)
+    refused: dict[str, RefusedProgress] = field(default_factory=dict)
     actions: list[Action] = field(default_factory=list)
     superseded: bool = False
     urgent_arrivals: deque[UrgentArrival] = field(default_factory=deque)
@@ -430,6 +456,7 @@
 
     def mark_changed(self, job: Job) -> None:
         """Schedule a job's progress to be recorded."""
+        job.revision += 1
         self.changed[job.job_id] = None
 
 
--- a/src/cardamomdyke/platform/settings.py
+++ b/src/cardamomdyke/platform/settings.py
@@ -6,11 +6,14 @@
 from msgspec import Struct, field
 from msgspec.json import Decoder
 
+from cardamomdyke.jobs.layout import RECORD_LENGTH_BYTES, RecordLimits
 from cardamomdyke.model.errors import DECODE_ERRORS, Problem, ProblemKind, make_problem
 
 # Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE = "CARDAMOMDYKE_CONFIG"
 MILLISECONDS = 1000.0
+# The head of a job's progress, and a record with a key of 255 bytes, fit into this.
+MIN_RECORD_BYTES = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,12 +24,12 @@
     ----------
     address : str
         ``host:port``.
-    append_limit_bytes : int
-        Largest total size of the records of one append.
+    limits : RecordLimits
+        Largest record and largest append.
     """
 
     address: str
-    append_limit_bytes: int
+    limits: RecordLimits
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +114,7 @@
 
 class _Store(Struct):
     address: str
+    record_bytes: int
     request_bytes: int
 
 
@@ -152,6 +156,11 @@
     except DECODE_ERRORS as error:
         message = f"the platform's settings file cannot be used: {error}"
         return Error(make_problem(ProblemKind.INVALID_SETTING, message))
+    limits = RecordLimits(wire.platform.record_bytes, wire.platform.request_bytes)
+    fault = find_limit_fault(limits)
+    if fault:
+        message = f"the platform's settings file cannot be used: {fault}"
+        return Error(make_problem(ProblemKind.INVALID_SETTING, message))
     return Ok(
         NodeSettings(
             vm=wire.node_name,
@@ -160,16 +169,25 @@
             caller_address=wire.listen_addresses.callers,
             readiness_address=wire.listen_addresses.readiness,
             peer_port=wire.internal_port_range[0],
-            store=StoreSettings(
-                address=wire.platform.address,
-                append_limit_bytes=wire.platform.request_bytes,
-            ),
+            store=StoreSettings(address=wire.platform.address, limits=limits),
             bounds=_convert_bounds(wire.bounds),
             power=wire.limits.processor_share * wire.limits.cores,
         )
     )
 
 
+def find_limit_fault(limits: RecordLimits) -> str:
+    """Return what is wrong with the store's limits; empty when they can be used."""
+    if limits.record_bytes < MIN_RECORD_BYTES:
+        return f"record_bytes is {limits.record_bytes}, below {MIN_RECORD_BYTES}"
+    if limits.append_bytes < RECORD_LENGTH_BYTES + limits.record_bytes:
+        return (
+            f"request_bytes is {limits.append_bytes}, too few for a record of "
+            f"record_bytes ({limits.record_bytes}) and its length"
+        )
+    return ""
+
+
 def _convert_bounds(wire: _Bounds) -> Bounds:
     return Bounds(
         lease_limit_seconds=wire.hold_max_ms / MILLISECONDS,
--- a/src/cardamomdyke_standins/nodes.py
+++ b/src/cardamomdyke_standins/nodes.py
@@ -19,6 +19,7 @@
     try_http,
     wait_until,
 )
+from cardamomdyke_standins.platform_store import APPEND_BYTES, RECORD_BYTES
 from cardamomdyke_standins.relay import Conditions, Cut, Link, Plan
 
 PLATFORM_HOST = "127.0.0.1"
@@ -81,6 +82,10 @@
         ``host:port`` of the readiness check of each VM, by name.
     advertised : dict of str to str
         ``host:port`` of the relay in front of each backend server, by name.
+    record_bytes : int
+        Largest record of the store.
+    append_bytes : int
+        Largest append of the store.
     """
 
     directory: Path
@@ -90,6 +95,8 @@
     callers: dict[str, str]
     readiness: dict[str, str]
     advertised: dict[str, str]
+    record_bytes: int = RECORD_BYTES
+    append_bytes: int = APPEND_BYTES
     deployment: Deployment = field(init=False)
 
     def __post_init__(self) -> None:
@@ -108,6 +115,8 @@
             "tables": TABLES,
             "advertised": self.advertised,
             "failure_domains": list(DOMAINS),
+            "record_bytes": self.record_bytes,
+            "append_bytes": self.append_bytes,
         }
         plan.write_bytes(encode(content))
         self.deployment.start_standin("platform", "platform", plan=plan)
@@ -132,8 +141,8 @@
             "bounds": BOUNDS,
             "platform": {
                 "address": self.relay.links[0].listen,
-                "record_bytes": 262_144,
-                "request_bytes": 2_097_152,
+                "record_bytes": self.record_bytes,
+                "request_bytes": self.append_bytes,
                 "min_ttl_ms": 1000,
             },
         }
@@ -204,7 +213,13 @@
 
 
 @contextmanager
-def run_nodes(directory: Path, vms: int = 3, servers: int = 3) -> Iterator[Nodes]:
+def run_nodes(
+    directory: Path,
+    vms: int = 3,
+    servers: int = 3,
+    record_bytes: int = RECORD_BYTES,
+    append_bytes: int = APPEND_BYTES,
+) -> Iterator[Nodes]:
     """Run a stand-in platform and daemons during a ``with`` block.
 
     Parameters
@@ -215,6 +230,10 @@
         Number of daemons.
     servers : int
         Number of backend servers.
+    record_bytes : int
+        Largest record of the store.
+    append_bytes : int
+        Largest append of the store.
 
     Yields
     ------
@@ -243,6 +262,8 @@
         {name: f"{hosts[name]}:{next(ports)}" for name in names},
         {name: f"{hosts[name]}:{next(ports)}" for name in names},
         {link.place: link.listen for link in links[1:]},
+        record_bytes,
+        append_bytes,
     )
     try:
         nodes.start_platform()
--- a/src/cardamomdyke_standins/platform.py
+++ b/src/cardamomdyke_standins/platform.py
@@ -19,7 +19,12 @@
     RefusedError,
     Run,
 )
-from cardamomdyke_standins.platform_store import Store, make_store_application
+from cardamomdyke_standins.platform_store import (
+    APPEND_BYTES,
+    RECORD_BYTES,
+    Store,
+    make_store_application,
+)
 from cardamomdyke_standins.run_history import RunEvent, RunEventKind
 
 HEARTBEAT_PERIOD_SECONDS = 0.5
@@ -44,6 +49,10 @@
         Number of accelerators of each server.
     failure_domains : list of str
         Failure domains, assigned to the servers in turn.
+    record_bytes : int
+        Largest record of the store.
+    append_bytes : int
+        Largest append of the store.
     """
 
     store: str
@@ -52,6 +61,8 @@
     advertised: dict[str, str] = field(default_factory=dict)
     accelerators: int = 8
     failure_domains: list[str] = field(default_factory=lambda: ["gent"])
+    record_bytes: int = RECORD_BYTES
+    append_bytes: int = APPEND_BYTES
 
 
 class RunRecorder:
@@ -260,7 +271,7 @@
 
 async def serve_platform(plan: Plan) -> None:
     """Serve until the process ends."""
-    store = Store(time.monotonic)
+    store = Store(time.monotonic, plan.record_bytes, plan.append_bytes)
     store.put("keyed.op", "config", encode(plan.tables))
     cluster = Cluster()
     recorder = RunRecorder(cluster)
--- a/src/cardamomdyke_standins/platform_server.py
+++ b/src/cardamomdyke_standins/platform_server.py
@@ -40,6 +40,8 @@
         True when the tasks write checkpoints.
     crashing_index : int
         Index of the task that crashes each server which starts it; -1 for none.
+    checkpoint_length : int
+        Least number of characters of a checkpoint.
     """
 
     seconds: float = 1.0
@@ -48,6 +50,7 @@
     failing_runs: int = 0
     saves: bool = False
     crashing_index: int = -1
+    checkpoint_length: int = 0
 
 
 def encode_plan(steps: list[StepPlan]) -> str:
@@ -285,7 +288,8 @@
         )
         if saved <= 0:
             return ""
-        return f"{item.task.job_id}.{item.task.step}:{saved}"
+        text = f"{item.task.job_id}.{item.task.step}:{saved}"
+        return text.ljust(item.plan.checkpoint_length)
 
     def end_run(self, item: Run, kind: EndKind, now: float) -> None:
         """End a run and the other members of its gang."""
--- a/src/cardamomdyke_standins/platform_store.py
+++ b/src/cardamomdyke_standins/platform_store.py
@@ -15,6 +15,8 @@
 OFFSET_BOUNDS = Layout(">QQ")
 PARTITIONS = 12
 MAX_PAGE_ITEMS = 500
+RECORD_BYTES = 262_144
+APPEND_BYTES = 2_097_152
 
 
 def split_record(content: bytes) -> tuple[str, bytes]:
@@ -132,9 +134,18 @@
 
 @dataclass
 class Store:
-    """All partitions and groups."""
+    """All partitions and groups.
+
+    Attributes
+    ----------
+    record_bytes, append_bytes : int
+        Largest record, and largest total of the records of one append; larger ones
+        get 400.
+    """
 
     clock: Callable[[], float]
+    record_bytes: int = RECORD_BYTES
+    append_bytes: int = APPEND_BYTES
     topics: dict[tuple[str, int], Partition] = field(default_factory=dict)
     groups: dict[str, Group] = field(default_factory=dict)
 
@@ -159,6 +170,12 @@
         partition = self.store.find_partition(argument("topic"), int(argument("part")))
         producer = argument("producer", "")
         contents = split_body(self.request.body)
+        largest = max(map(len, contents), default=0)
+        total = len(self.request.body)
+        if largest > self.store.record_bytes or total > self.store.append_bytes:
+            self.set_status(400)
+            self.finish(b"{}")
+            return
         if producer:
             refusal = check_producer(
                 partition,
--- a/tests/control/test_supervision.py
+++ b/tests/control/test_supervision.py
@@ -19,6 +19,7 @@
 )
 from cardamomdyke.control.supervision import run_supervised
 from cardamomdyke.control.terms import PlannerRunner
+from cardamomdyke.jobs.layout import RecordLimits
 from cardamomdyke.model.orders import Shape, TaskId
 from cardamomdyke.model.servers import RunLists, ServerEntry
 from cardamomdyke.planner.actions import PollOrder, SendStop
@@ -200,7 +201,7 @@
             SimpleNamespace(
                 vm="vm",
                 failure_domain="gent",
-                store=SimpleNamespace(append_limit_bytes=1000),
+                store=SimpleNamespace(limits=RecordLimits(1000, 2000)),
                 bounds=SimpleNamespace(
                     lease_limit_seconds=6.0,
                     gang_wait_seconds=3.0,
--- a/tests/planner/test_histories.py
+++ b/tests/planner/test_histories.py
@@ -10,6 +10,7 @@
     rule,
 )
 
+from cardamomdyke.jobs.layout import RecordLimits
 from cardamomdyke.model.orders import Shape, StepOrder
 from cardamomdyke.model.queues import Account
 from cardamomdyke_standins.platform_server import MAX_LEASE_SECONDS, StepPlan
@@ -52,6 +53,9 @@
 LONG_RUNNING_SECONDS = 1e6
 # Each crash takes one of four servers away.
 MAX_CRASHING_JOBS = 2
+PLATFORM_LIMITS = RecordLimits(262_144, 2_097_152)
+# The progress of a job with two tasks or more takes several records and appends.
+SMALL_LIMITS = RecordLimits(110, 250)
 # Time in which every job ends after the last fault: the leases of lost servers expire,
 # then the jobs run one after the other.
 SETTLE_SECONDS = 2 * MAX_LEASE_SECONDS + 120.0
@@ -66,9 +70,12 @@
     @initialize(
         rates=st.lists(st.sampled_from([1.0, 0.98]), min_size=4, max_size=4),
         quota=st.sampled_from([0, 8, 16]),
+        record_limits=st.sampled_from([PLATFORM_LIMITS, SMALL_LIMITS]),
     )
-    def begin(self, rates: list[float], quota: int) -> None:
-        self.world = CrashWorld()
+    def begin(
+        self, rates: list[float], quota: int, record_limits: RecordLimits
+    ) -> None:
+        self.world = CrashWorld(record_limits=record_limits)
         self.world.accounts = (Account("owner", frozenset(), 16),)
         self.world.set_quota("owner", quota)
         for name, rate in zip(SERVERS, rates, strict=True):
@@ -223,6 +230,11 @@
         if planner.reaches_store and self.world.store_up:
             self.world.reread_records(planner)
 
+    @rule()
+    def drop_history(self) -> None:
+        """Let the store keep only the newest record of each key."""
+        self.world.compact()
+
     @rule(name=st.sampled_from(SERVERS), seconds=st.sampled_from([0.2, 2.0, 6.0]))
     def restart_server(self, name: str, seconds: float) -> None:
         self.world.faults_injected = True
--- a/tests/planner/world.py
+++ b/tests/planner/world.py
@@ -10,15 +10,14 @@
 from enum import StrEnum
 from itertools import count
 
+from cardamomdyke.jobs.layout import RecordLimits, measure_append, measure_record
 from cardamomdyke.jobs.ledger import ChangeKind, Ledger, apply_record, find_phase
 from cardamomdyke.jobs.records import (
     CANCELLATION_PREFIX,
     JOB_PREFIX,
-    PROGRESS_PREFIX,
     JobPhase,
     JobRecord,
     encode_job,
-    encode_progress,
 )
 from cardamomdyke.model.orders import JobOrder, Shape, StepOrder, TaskId
 from cardamomdyke.model.queues import Account, QueuePool, QueueTables, make_queue_tables
@@ -47,12 +46,8 @@
     make_poll_order,
     update_servers,
 )
-from cardamomdyke.planner.progress import (
-    add_job,
-    handle_recorded,
-    restore_jobs,
-    take_batch,
-)
+from cardamomdyke.planner.progress import add_job, restore_jobs
+from cardamomdyke.planner.recording import handle_appended, take_append
 from cardamomdyke.planner.replies import (
     expire_starts,
     grant_start_lease,
@@ -129,6 +124,8 @@
     """Simulated deployment, advanced by a queue of events in virtual time."""
 
     records: list[tuple[str, bytes]] = field(default_factory=list)
+    record_limits: RecordLimits = RecordLimits(262_144, 2_097_152)
+    refused_jobs: set[str] = field(default_factory=set)
     notes: list[Note] = field(default_factory=list)
     epoch: int = 0
     store_up: bool = True
@@ -362,10 +359,12 @@
         """Append the changes; the store refuses the append of a previous planner."""
         if planner.recording:
             return
-        batch = take_batch(planner.state)
-        if batch is None:
+        append = take_append(planner.state, self.record_limits, self.now)
+        self.carry_out(planner)
+        if append is None:
             return
         planner.recording = True
+        refused: dict[str, str] = {}
 
         def arrive() -> None:
             if not (self.is_running(planner) and planner.reaches_store):
@@ -376,9 +375,17 @@
             if planner.state.fence < self.epoch:
                 planner.state.superseded = True
                 return
-            for job_id, progress in batch.progress.items():
-                key = PROGRESS_PREFIX + job_id
-                self.records.append((key, encode_progress(progress)))
+            groups = append.entries
+            for job_id in [name for name in groups if name in self.refused_jobs]:
+                refused[job_id] = "refused"
+            added = [
+                entry
+                for job_id, entries in groups.items()
+                if job_id not in refused
+                for entry in entries
+            ]
+            self.check_append(added)
+            self.records += added
             self.schedule(STORE_DELAY_SECONDS, answer)
 
         def answer() -> None:
@@ -387,11 +394,31 @@
                 return
             planner.recording = False
             if self.is_running(planner):
-                handle_recorded(planner.state, batch, self.now)
+                handle_appended(planner.state, append, refused, self.now)
                 self.carry_out(planner)
 
         self.schedule(STORE_DELAY_SECONDS, arrive)
 
+    def check_append(self, entries: list[tuple[str, bytes]]) -> None:
+        """Check that the store would take an append."""
+        largest = max(map(measure_record, entries), default=0)
+        size = measure_append(entries)
+        limits = self.record_limits
+        if largest > limits.record_bytes or size > limits.append_bytes:
+            self.violations.append(f"LIMIT: append of {size}, record of {largest}")
+
+    def compact(self) -> None:
+        """Keep only the newest record of each key, in the order of the keys."""
+        newest = dict(self.records)
+        applied = len(self.records)
+        self.records = sorted((key, value) for key, value in newest.items() if value)
+        for planner in self.planners:
+            if planner.applied_records == applied:
+                planner.applied_records = len(self.records)
+            else:
+                planner.ledger = Ledger()
+                planner.applied_records = 0
+
     def carry_out(self, planner: Planner) -> None:
         actions, planner.state.actions = planner.state.actions, []
         for action in actions:
