Keep a record that the store refuses for good from holding up others

A caller whose own record was refused got 503 "send the request again" each time.

Cause: the client did not tell an answer that stands (400, 413) from one that passes (429, 503), and the planner repeated the append of all jobs until it was confirmed. An unexpected error while one job's record was made ended each term.

Change: 400 to 499 without those that pass are REFUSED. The recorder then appends the records of each job by themselves. Callers get 400 without Retry-After.

--- a/src/cardamomdyke/control/answers.py
+++ b/src/cardamomdyke/control/answers.py
@@ -96,6 +96,12 @@
     "send the request again",
     RETRY_AFTER_SECONDS,
 )
+NOT_STORED = Refusal(
+    400,
+    "not_stored",
+    "the platform's store refuses the record of this request; it was not run",
+    "send a smaller request",
+)
 UNREACHED_KINDS = frozenset(
     {NOT_REACHED.kind, NOT_KNOWN.kind, NO_TABLES.kind, OLD_TABLES.kind}
 )
@@ -144,4 +150,6 @@
     """Return the refusal that says what is certain after a failed append."""
     if fault.kind is StoreFaultKind.FENCED:
         return WITHDRAWN
+    if fault.kind is StoreFaultKind.REFUSED:
+        return NOT_STORED
     return NOT_KNOWN if fault.kind is StoreFaultKind.UNCERTAIN else NOT_REACHED
--- a/src/cardamomdyke/control/driver.py
+++ b/src/cardamomdyke/control/driver.py
@@ -563,6 +563,11 @@
             if self.is_current:
                 self.leadership.end_term("a later planner has taken over")
             return
+        if OTHER_RECORDS in result.ok:
+            detail = result.ok[OTHER_RECORDS]
+            self.context.journal.write(
+                "record.refused", other_records[0].key, detail=detail
+            )
         handle_appended(self.state, append, result.ok, read_clock())
         self.perform_actions()
         self.recorded.set()
--- a/src/cardamomdyke/control/recorder.py
+++ b/src/cardamomdyke/control/recorder.py
@@ -55,17 +55,31 @@
         Returns
         -------
         Result of dict of str to str, or StoreFault
-            Answer of the store by the name of each group that it has refused, or
+            Answer of the store by the name of each group that it refuses for good, or
             ``FENCED`` after the end of the term.
         """
         records = [record for group in groups.values() for record in group]
         result = await self.append_until_settled(records)
-        return result.map(lambda _: {})
+        if result.is_ok():
+            return Ok({})
+        if result.error.kind is not StoreFaultKind.REFUSED:
+            return Error(result.error)
+        if len(groups) == 1:
+            return Ok(dict.fromkeys(groups, result.error.detail))
+        # The store appends all or none, so the others are appended without the one
+        # that it refuses.
+        refused: dict[str, str] = {}
+        for name, group in groups.items():
+            part = await self.record({name: group})
+            if part.is_error():
+                return part
+            refused |= part.ok
+        return Ok(refused)
 
     async def append_until_settled(
         self, records: Sequence[KeyedRecord]
     ) -> Result[None, StoreFault]:
-        """Repeat one append until the store confirms it.
+        """Repeat one append until the store confirms it or refuses it for good.
 
         The store recognises a repeated append by its sequence number, so records
         are appended once even if answers are lost.
@@ -81,6 +95,8 @@
                 self.journal.write("planner.fenced", PRODUCER, epoch=self.epoch)
                 return Error(fault)
             self.handle_fault(fault)
+            if fault.kind is StoreFaultKind.REFUSED and records:
+                return Error(fault)
             await asyncio.sleep(RETRY_WAIT_SECONDS)
         return Error(StoreFault(StoreFaultKind.FENCED, "the term has ended"))
 
--- a/src/cardamomdyke/planner/recording.py
+++ b/src/cardamomdyke/planner/recording.py
@@ -99,7 +99,11 @@
             continue
         job = state.jobs[job_id]
         del state.changed[job_id]
-        state.writes[job_id] = make_write(state, job, limits)
+        try:
+            state.writes[job_id] = make_write(state, job, limits)
+        except Exception as error:
+            # An error that ends the term would end that of each later planner too.
+            refuse_progress(state, job, repr(error), now)
 
 
 def make_write(state: PlannerState, job: Job, limits: RecordLimits) -> ProgressWrite:
--- a/src/cardamomdyke/platform/records.py
+++ b/src/cardamomdyke/platform/records.py
@@ -22,6 +22,7 @@
     OUT_OF_SEQUENCE = "out_of_sequence"
     TRIMMED = "trimmed"
     FULL = "full"
+    REFUSED = "refused"
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +32,8 @@
     Attributes
     ----------
     kind : StoreFaultKind
-        ``NOT_DONE`` if the call certainly had no effect and never will.
+        ``NOT_DONE`` if the call certainly had no effect and never will, ``REFUSED``
+        if the same call will not have one later either.
     detail : str
         What happened.
     sequence : int
--- a/src/cardamomdyke/platform/store.py
+++ b/src/cardamomdyke/platform/store.py
@@ -36,6 +36,9 @@
 PAGE_TIMEOUT_SECONDS = 6.0
 # Largest answer to a read; 0.4 s on a link of 5 Mbit/s.
 MAX_READ_KB = 256
+# Answers in the range of a caller's faults that a later try need not get: a timeout, a
+# conflict, a condition that does not hold, and too many calls.
+PASSING_CODES = frozenset({408, 409, 412, 425, 429})
 # Offset of an append that the store confirmed without naming one.
 UNKNOWN_OFFSET = -1
 # Timeout of a long poll, beyond its wait.
@@ -449,4 +452,6 @@
     # After any 5xx but 503, an append may have taken effect.
     if code >= 500 and code != 503:
         return StoreFault(StoreFaultKind.UNCERTAIN, detail)
+    if 400 <= code < 500 and code not in PASSING_CODES:
+        return StoreFault(StoreFaultKind.REFUSED, detail)
     return StoreFault(StoreFaultKind.NOT_DONE, detail)
--- a/tests/control/test_appends.py
+++ b/tests/control/test_appends.py
@@ -14,6 +14,7 @@
     Appender,
 )
 from cardamomdyke.control.processor import RequestProcessor
+from cardamomdyke.control.recorder import Recorder
 from cardamomdyke.jobs.ledger import apply_record
 from cardamomdyke.platform.records import KeyedRecord, StoreFault, StoreFaultKind
 from cardamomdyke.platform.store import Producer
@@ -99,6 +100,49 @@
     assert max(store.sizes) == MAX_BATCH_RECORDS
 
 
+@dataclass
+class RefusingStore:
+    """Refuses for good each append that holds a record of one key."""
+
+    key: str
+    stored: list[str] = field(default_factory=list)
+
+    async def append_records(
+        self,
+        topic: str,
+        records: Sequence[KeyedRecord],
+        producer: Producer | None = None,
+        timeout_seconds: float = 1.0,
+    ) -> Result[int, StoreFault]:
+        await asyncio.sleep(0)
+        if any(record.key == self.key for record in records):
+            return Error(StoreFault(StoreFaultKind.REFUSED, "the store answered 400"))
+        self.stored += [record.key for record in records]
+        return Ok(len(self.stored) - len(records))
+
+
+def test_refused_group_takes_no_others_with_it() -> None:
+    """Guards against one job's record that the store refuses and all others wait for.
+
+    Records of other groups are stored, and the refused group is named.
+    """
+    journal = make_context().journal
+
+    async def scenario() -> None:
+        store = RefusingStore("p1")
+        recorder = Recorder(cast(Any, store), journal, 1, lambda: True)
+        groups = {
+            name: [KeyedRecord(key, b"x") for key in keys]
+            for name, keys in {"a": ["p0"], "b": ["u1", "p1"], "c": ["p2"]}.items()
+        }
+        result = await asyncio.wait_for(recorder.record(groups), 1.0)
+        assert result.is_ok()
+        assert result.ok == {"b": "the store answered 400"}
+        assert store.stored == ["p0", "p2"]
+
+    asyncio.run(scenario())
+
+
 def test_job_that_the_feed_shows_is_accepted() -> None:
     """Guards against 504 "not known" when only the answer to an append was lost."""
     context = make_context()
--- a/tests/control/test_processor.py
+++ b/tests/control/test_processor.py
@@ -150,6 +150,16 @@
     asyncio.run(scenario())
 
 
+def test_refusal_of_the_store_for_good_is_no_invitation_to_retry() -> None:
+    """Guards against callers that send again what the store never takes."""
+    processor = make_processor()
+    fault = StoreFault(StoreFaultKind.REFUSED, "the store answered 400")
+    processor.context.store.faults.append(fault)  # type: ignore[attr-defined]
+    answer = asyncio.run(processor.serve(make_request("POST", JOB, BODY)))
+    assert answer.code == 400
+    assert not answer.retry_after_seconds
+
+
 @pytest.mark.parametrize(
     ("prefix", "code", "reason"), [("/", 404, "no_queue"), (PREFIX, 410, "bad_id")]
 )
--- a/tests/planner/test_record_limits.py
+++ b/tests/planner/test_record_limits.py
@@ -7,6 +7,8 @@
 from cardamomdyke.jobs.layout import RecordLimits
 from cardamomdyke.jobs.records import JobPhase
 from cardamomdyke.model.orders import TaskId
+from cardamomdyke.planner import recording
+from cardamomdyke.planner.recording import REFUSED_WAIT_SECONDS
 from cardamomdyke_standins.platform_server import StepPlan
 from tests.planner.test_planner import JOB, OTHER, make_step, make_world
 from tests.planner.world import Schedule, World
@@ -115,3 +117,65 @@
     world.run_for(15.0)
     assert world.find_phase(JOB) is JobPhase.COMPLETED
     assert world.violations == []
+
+
+def test_refused_progress_holds_up_no_other_job() -> None:
+    """Guards against one job whose records the store refuses and all others wait for.
+
+    The refused job holds no capacity meanwhile, and goes on once the store takes it.
+    """
+    world = make_small_world(servers=1)
+    world.refused_jobs.add(JOB)
+    world.submit(JOB, [(make_step(1, 8), StepPlan(1.0))])
+    world.run_for(0.5)
+    world.submit(OTHER, [(make_step(1, 8), StepPlan(1.0))])
+    world.run_for(3.0)
+    assert world.find_phase(OTHER) is JobPhase.COMPLETED
+    notes = [note for note in world.notes if note.kind == "progress.refused"]
+    assert [note.subject for note in notes] == [JOB]
+    assert not world.cluster.servers[SERVER_NAME].runs
+    world.refused_jobs.clear()
+    world.run_for(REFUSED_WAIT_SECONDS + 3.0)
+    assert world.find_phase(JOB) is JobPhase.COMPLETED
+    assert world.violations == []
+
+
+def test_end_whose_effect_is_refused_is_not_acknowledged() -> None:
+    """Guards against a task that runs again, since its end was acknowledged unrecorded.
+
+    The ends of other jobs before it on the same server are acknowledged.
+    """
+    world = make_small_world(servers=1)
+    world.submit(OTHER, [(make_step(1, 1), StepPlan(0.5))])
+    world.submit(JOB, [(make_step(1, 1), StepPlan(1.5))])
+    world.run_for(1.0)
+    world.refused_jobs.add(JOB)
+    world.run_for(3.0)
+    server = world.planner.state.servers[SERVER_NAME]
+    assert server.processed_end == 2
+    assert server.acknowledged == 1
+    world.planner.alive = False
+    world.take_over()
+    world.refused_jobs.clear()
+    world.run_for(8.0)
+    assert world.find_phase(JOB) is JobPhase.COMPLETED
+    assert world.violations == []
+
+
+def test_progress_that_cannot_be_encoded_holds_up_no_other_job(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an unexpected error in one job's record that ends each term."""
+    plan_records = recording.plan_records
+
+    def fail_for_one(job_id: str, *arguments: object) -> object:
+        if job_id == JOB:
+            raise OverflowError("an integer is too large")
+        return plan_records(job_id, *arguments)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(recording, "plan_records", fail_for_one)
+    world = make_small_world(servers=1)
+    world.submit(JOB, [(make_step(1, 8), StepPlan(1.0))])
+    world.submit(OTHER, [(make_step(1, 8), StepPlan(1.0))])
+    world.run_for(4.0)
+    assert world.find_phase(OTHER) is JobPhase.COMPLETED
