Refuse a job whose record the store never takes

What callers saw: a job with many steps got 503 "send the request again" from each VM, however often it was sent.

Cause: body and number of tasks were checked, not the size of the accepted job's record, which names each field of each step.

Change: a job whose record exceeds record_bytes of the settings gets 413 (job_too_large) with both sizes. Repeats of an accepted job still get its state.

Evidence: test_job_with_a_record_over_the_limit_is_refused fails on the code before (each size is accepted) and passes now; a record of exactly the limit is accepted.

Cost: one encoding of the record more for each accepted job.

--- a/src/cardamomdyke/control/answers.py
+++ b/src/cardamomdyke/control/answers.py
@@ -128,6 +128,15 @@
     return Refusal(413, "body_too_large", detail, "send a smaller body")
 
 
+def make_large_job(size_bytes: int, limit_bytes: int) -> Refusal:
+    """Return the refusal of a job whose record the store does not take."""
+    detail = (
+        f"the record of the job has {size_bytes} bytes; the store takes {limit_bytes}"
+    )
+    remedy = "submit fewer steps, or several jobs"
+    return Refusal(413, "job_too_large", detail, remedy)
+
+
 def make_large_headers(limit_bytes: int) -> Refusal:
     """Return the refusal of headers over the limit."""
     detail = f"the headers are over {limit_bytes} bytes"
--- a/src/cardamomdyke/control/processor.py
+++ b/src/cardamomdyke/control/processor.py
@@ -16,6 +16,7 @@
     Refusal,
     make_answer,
     make_large_body,
+    make_large_job,
     make_unknown_job,
 )
 from cardamomdyke.control.clock import read_clock
@@ -27,12 +28,15 @@
     withdraw_id,
 )
 from cardamomdyke.jobs.admission import check_job_id, check_order, find_unsupported
+from cardamomdyke.jobs.layout import measure_record
 from cardamomdyke.jobs.ledger import count_waiting, find_phase
 from cardamomdyke.jobs.records import (
     CANCELLATION_PREFIX,
     FINAL_PHASES,
+    JOB_PREFIX,
     JobPhase,
     JobRecord,
+    encode_job,
 )
 from cardamomdyke.model.queues import Account, QueueRoute, QueueTables, find_route
 from cardamomdyke.platform.records import KeyedRecord
@@ -342,6 +346,10 @@
     ) -> CallerAnswer:
         """Append a job and answer that it is queued."""
         began_at = read_clock()
+        size = measure_record((JOB_PREFIX + record.job_id, encode_job(record)))
+        limit = self.context.settings.store.limits.record_bytes
+        if size > limit:
+            return self.refuse(record.job_id, make_large_job(size, limit))
         if not check_contact(self.context):
             return self.refuse(record.job_id, NOT_REACHED)
         jobs = self.context.ledger.jobs
--- a/tests/control/fakes.py
+++ b/tests/control/fakes.py
@@ -13,6 +13,7 @@
 from cardamomdyke.control.journal import Journal
 from cardamomdyke.control.metrics import make_metrics
 from cardamomdyke.control.processor import CallerRequest, RequestProcessor
+from cardamomdyke.jobs.layout import RecordLimits
 from cardamomdyke.jobs.ledger import Ledger, apply_record
 from cardamomdyke.jobs.retention import make_retention
 from cardamomdyke.model.queues import (
@@ -109,7 +110,11 @@
     )
     feed = FakeFeed()
     store = FakeStore()
-    settings = SimpleNamespace(vm=vm, failure_domain="gent")
+    settings = SimpleNamespace(
+        vm=vm,
+        failure_domain="gent",
+        store=SimpleNamespace(limits=RecordLimits(262_144, 2_097_152)),
+    )
     context = Context(
         cast(Any, settings),
         cast(Any, None),
--- a/tests/control/test_processor.py
+++ b/tests/control/test_processor.py
@@ -9,6 +9,7 @@
 from cardamomdyke.control.clock import read_clock
 from cardamomdyke.control.context import CONTACT_TIMEOUT_SECONDS
 from cardamomdyke.control.processor import RequestProcessor
+from cardamomdyke.jobs.layout import RecordLimits, measure_record
 from cardamomdyke.jobs.records import (
     PROGRESS_PREFIX,
     JobPhase,
@@ -16,9 +17,12 @@
     encode_progress,
 )
 from cardamomdyke.platform.records import KeyedRecord, StoreFault, StoreFaultKind
+from cardamomdyke.platform.settings import StoreSettings
 from tests.control.fakes import PREFIX, make_processor, make_request
 
 JOB = "00000000000000a1"
+RECORD_BYTES = 2048
+STORE = StoreSettings("10.0.0.1:80", RecordLimits(262_144, 2_097_152))
 BODY = encode({"specification": "x", "steps": [{"count": 1, "cpu_millicores": 1}]})
 
 
@@ -150,6 +154,33 @@
     asyncio.run(scenario())
 
 
+def measure_job(processor: RequestProcessor, length: int) -> tuple[int, int]:
+    """Return the answer to a job with a specification, and the size of its record."""
+    limits = RecordLimits(RECORD_BYTES, 4 * RECORD_BYTES)
+    processor.context.settings.store = replace(STORE, limits=limits)  # type: ignore[misc]
+    step = {"count": 1, "cpu_millicores": 1}
+    body = encode({"specification": "x" * length, "steps": [step]})
+    answer = asyncio.run(processor.serve(make_request("POST", JOB, body)))
+    if answer.code != 200:
+        assert f"the store takes {RECORD_BYTES}".encode() in answer.body
+        assert not answer.retry_after_seconds
+        return answer.code, 0
+    (record,) = processor.context.store.records  # type: ignore[attr-defined]
+    return answer.code, measure_record((record.key, record.value))
+
+
+def test_job_with_a_record_over_the_limit_is_refused() -> None:
+    """Guards against 503 "send again" for a job that the store never takes."""
+    sizes = []
+    for length in range(1000, 2000):
+        code, size = measure_job(make_processor(), length)
+        if code != 200:
+            break
+        sizes.append(size)
+    assert code == 413
+    assert sizes[-1] == RECORD_BYTES
+
+
 def test_refusal_of_the_store_for_good_is_no_invitation_to_retry() -> None:
     """Guards against callers that send again what the store never takes."""
     processor = make_processor()
