Append the records of a refused batch one by one

Cause: the store takes all records of an append or none, and a refusal failed the whole batch. The size of a batch was counted without the lengths before records and keys (5 bytes each), so a full one could exceed the limit.

Change: a batch that is refused for good is appended record by record, and sizes are counted as the store counts them. The limit of test_batches_are_bounded is now 10 records of 23 bytes, as the store counts them, and no longer 10 of 18; it still requires 10 records at most.

Evidence: on the code before, test_refused_record_takes_no_others_with_it fails (all five records are refused) and test_batches_are_bounded sees 12 records of 23 bytes in an append of 230. Both pass now.

Cost: none for batches that are taken.

--- a/src/cardamomdyke/control/appends.py
+++ b/src/cardamomdyke/control/appends.py
@@ -5,7 +5,8 @@
 
 from expression import Result
 
-from cardamomdyke.platform.records import KeyedRecord, StoreFault
+from cardamomdyke.jobs.layout import measure_append
+from cardamomdyke.platform.records import KeyedRecord, StoreFault, StoreFaultKind
 from cardamomdyke.platform.store import WORK_TOPIC, StoreClient
 
 # A slow store takes up to 2 s for an append and refuses more beyond that; a caller
@@ -33,7 +34,7 @@
     in_flight : int
         Number of unanswered appends.
     limit_bytes : int
-        Largest total of the records of one append.
+        Largest append that the store takes.
     timer : TimerHandle or None
         Next call of `start_appends`; None if not scheduled.
     """
@@ -75,7 +76,7 @@
         batch_bytes = 0
         count = 0
         for record, _ in self.pending[:MAX_BATCH_RECORDS]:
-            batch_bytes += len(record.key) + len(record.value)
+            batch_bytes += measure_append([(record.key, record.value)])
             if count and batch_bytes > self.limit_bytes:
                 break
             count += 1
@@ -85,11 +86,21 @@
     async def append_batch(
         self, batch: list[tuple[KeyedRecord, asyncio.Future[AppendResult]]]
     ) -> None:
-        """Append one batch and set the outcome of its records."""
+        """Append one batch and set the outcome of its records.
+
+        The store appends all or none, so the records of a batch that it refuses for
+        good are appended one by one.
+        """
         records = [record for record, _ in batch]
         result = await self.store.append_records(
             WORK_TOPIC, records, timeout_seconds=APPEND_TIMEOUT_SECONDS
         )
+        refused = result.is_error() and result.error.kind is StoreFaultKind.REFUSED
+        if refused and len(batch) > 1:
+            # The last one ends this append.
+            self.in_flight += len(batch) - 1
+            await asyncio.gather(*(self.append_batch([item]) for item in batch))
+            return
         self.in_flight -= 1
         for _, future in batch:
             if not future.done():
