Let an append be carried by a narrow link in time

What callers would see: nothing starts any more once the planner's changes exceed what its link carries in 0.8 s; not seen in a deployment.

Cause: each append had a timeout of 0.8 s whatever its size (500 KB at 5 Mbit/s, the narrowest link of the deployments), up to request_bytes (2 MB), and was repeated unchanged. It also delayed the renewals of the membership on the same link.

Change: the planner appends at most as much at a time as one record may have (record_bytes), and the timeout allows for the size at 5 Mbit/s.

Evidence: on the code before, test_large_append_comes_over_a_narrow_link fails (1 MB is given up each time) and test_many_changes_are_appended_in_parts sees an append of 8,807 bytes with records of 1,024. Both pass now.

Cost: changes of more than 262,148 bytes at once take several appends, where 2 MB went into one.

--- a/src/cardamomdyke/control/driver.py
+++ b/src/cardamomdyke/control/driver.py
@@ -18,7 +18,11 @@
 from cardamomdyke.control.leadership import Leadership
 from cardamomdyke.control.recorder import Recorder
 from cardamomdyke.control.supervision import log_crash
-from cardamomdyke.jobs.layout import RecordLimits, measure_append
+from cardamomdyke.jobs.layout import (
+    RECORD_LENGTH_BYTES,
+    RecordLimits,
+    measure_append,
+)
 from cardamomdyke.jobs.ledger import Change, ChangeKind
 from cardamomdyke.jobs.retention import list_keys, list_withdrawal_keys
 from cardamomdyke.membership.peers import HEARTBEAT_KEY, PEER_PREFIX
@@ -486,13 +490,14 @@
         """
         if self.recording:
             return
-        limits = self.context.settings.store.limits
-        other_records = self.take_other_records(limits.append_bytes // 2)
+        record_bytes = self.context.settings.store.limits.record_bytes
+        # As much as the largest record takes anyway. A larger append could fill a
+        # narrow link for longer than the membership lasts.
+        append_bytes = RECORD_LENGTH_BYTES + record_bytes
+        other_records = self.take_other_records(append_bytes // 2)
         entries = [(record.key, record.value) for record in other_records]
-        room = limits.append_bytes - measure_append(entries)
-        append = take_append(
-            self.state, RecordLimits(limits.record_bytes, room), read_clock()
-        )
+        room = append_bytes - measure_append(entries)
+        append = take_append(self.state, RecordLimits(record_bytes, room), read_clock())
         # Progress that cannot be encoded is reported at once.
         self.perform_actions()
         if append is None and not other_records:
--- a/src/cardamomdyke/control/recorder.py
+++ b/src/cardamomdyke/control/recorder.py
@@ -7,11 +7,19 @@
 from expression import Error, Ok, Result
 
 from cardamomdyke.control.journal import Journal
+from cardamomdyke.jobs.layout import measure_append
 from cardamomdyke.platform.records import KeyedRecord, StoreFault, StoreFaultKind
-from cardamomdyke.platform.store import WORK_TOPIC, Producer, StoreClient
+from cardamomdyke.platform.store import (
+    CALL_TIMEOUT_SECONDS,
+    WORK_TOPIC,
+    Producer,
+    StoreClient,
+)
 
 PRODUCER = "planner"
 RETRY_WAIT_SECONDS = 0.1
+# The narrowest link of the users' deployments: 5 Mbit/s.
+NARROW_LINK_BYTES_PER_SECOND = 625_000
 
 
 @dataclass
@@ -86,7 +94,9 @@
         """
         while self.is_term_current():
             producer = Producer(PRODUCER, self.epoch, self.sequence)
-            result = await self.store.append_records(WORK_TOPIC, records, producer)
+            result = await self.store.append_records(
+                WORK_TOPIC, records, producer, find_timeout(records)
+            )
             if result.is_ok():
                 self.sequence += 1
                 return Ok(None)
@@ -111,3 +121,12 @@
                 expected=fault.sequence,
             )
             self.sequence = fault.sequence
+
+
+def find_timeout(records: Sequence[KeyedRecord]) -> float:
+    """Return the timeout of an append in seconds; it allows for a narrow link.
+
+    An append that cannot arrive in time would be repeated for ever.
+    """
+    size = measure_append([(record.key, record.value) for record in records])
+    return CALL_TIMEOUT_SECONDS + size / NARROW_LINK_BYTES_PER_SECOND
--- a/tests/control/test_appends.py
+++ b/tests/control/test_appends.py
@@ -17,7 +17,7 @@
 from cardamomdyke.control.recorder import Recorder
 from cardamomdyke.jobs.ledger import apply_record
 from cardamomdyke.platform.records import KeyedRecord, StoreFault, StoreFaultKind
-from cardamomdyke.platform.store import Producer
+from cardamomdyke.platform.store import CALL_TIMEOUT_SECONDS, Producer
 from tests.control.fakes import make_context, make_request
 
 JOB = "00000000000000a1"
@@ -154,6 +154,42 @@
     asyncio.run(scenario())
 
 
+@dataclass
+class NarrowStore:
+    """Store behind a link on which an append arrives only after its size allows."""
+
+    bytes_per_second: float
+    calls: int = 0
+
+    async def append_records(
+        self,
+        topic: str,
+        records: Sequence[KeyedRecord],
+        producer: Producer | None = None,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+    ) -> Result[int, StoreFault]:
+        self.calls += 1
+        size = sum(len(record.value) for record in records)
+        if size / self.bytes_per_second > timeout_seconds:
+            return Error(StoreFault(StoreFaultKind.UNCERTAIN, "no answer"))
+        return Ok(0)
+
+
+def test_large_append_comes_over_a_narrow_link() -> None:
+    """Guards against an append that times out and is repeated for ever."""
+    store = NarrowStore(625_000.0)
+    journal = make_context().journal
+    records = [KeyedRecord("p0", bytes(1_000_000))]
+
+    async def scenario() -> None:
+        recorder = Recorder(cast(Any, store), journal, 1, lambda: store.calls < 3)
+        result = await recorder.record({"a": records})
+        assert result.is_ok()
+        assert store.calls == 1
+
+    asyncio.run(scenario())
+
+
 def test_job_that_the_feed_shows_is_accepted() -> None:
     """Guards against 504 "not known" when only the answer to an append was lost."""
     context = make_context()
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -1,10 +1,15 @@
 """Tests of the records that a planner term appends."""
 
+import asyncio
+from dataclasses import dataclass, field
 from types import SimpleNamespace
 from typing import Any, cast
 
+from expression import Ok, Result
+
 from cardamomdyke.control.clock import read_clock
 from cardamomdyke.control.driver import Term
+from cardamomdyke.jobs.layout import RecordLimits, measure_append
 from cardamomdyke.jobs.ledger import apply_record
 from cardamomdyke.jobs.records import (
     CANCELLATION_PREFIX,
@@ -16,11 +21,12 @@
     encode_job,
     encode_progress,
 )
-from cardamomdyke.model.orders import JobOrder
+from cardamomdyke.model.orders import JobOrder, Shape, StepOrder
 from cardamomdyke.planner.inputs import Limits
 from cardamomdyke.planner.progress import add_job
 from cardamomdyke.planner.state import PlannerState
-from cardamomdyke.platform.records import KeyedRecord
+from cardamomdyke.platform.records import KeyedRecord, StoreFault
+from cardamomdyke.platform.settings import StoreSettings
 from tests.control.fakes import make_context
 
 JOB = "00000000000000a1"
@@ -55,6 +61,51 @@
     ]
 
 
+@dataclass
+class RecordingStore:
+    """Takes the place of a term's recorder, and keeps what it appends."""
+
+    appends: list[dict[str, list[KeyedRecord]]] = field(default_factory=list)
+
+    async def record(
+        self, groups: dict[str, list[KeyedRecord]]
+    ) -> Result[dict[str, str], StoreFault]:
+        self.appends.append(groups)
+        return Ok({})
+
+
+def test_many_changes_are_appended_in_parts() -> None:
+    """Guards against an append that fills a narrow link longer than a term lasts.
+
+    Each append has at most the size of the largest record, which has to pass anyway.
+    """
+
+    async def scenario() -> None:
+        term = make_term()
+        limits = RecordLimits(1024, 1_000_000)
+        term.context.settings = cast(
+            Any, SimpleNamespace(store=StoreSettings("10.0.0.1:80", limits))
+        )
+        store = RecordingStore()
+        term.recorder = cast(Any, store)
+        jobs = [f"{number:016x}" for number in range(200)]
+        for job_id in jobs:
+            order = JobOrder("x", (StepOrder(1, Shape(1)),))
+            record = JobRecord(job_id, "q", "a", "p", 1, 1, 1.0, 0.0, 0.0, order)
+            add_job(term.state, record, read_clock())
+            term.state.mark_changed(term.state.jobs[job_id])
+        while term.state.changed or term.state.writes:
+            term.start_recording()
+            await asyncio.gather(*term.tasks)
+        recorded = [name for groups in store.appends for name in groups if name]
+        assert sorted(recorded) == jobs
+        for groups in store.appends:
+            records = [record for group in groups.values() for record in group]
+            assert measure_append([(item.key, item.value) for item in records]) <= 1028
+
+    asyncio.run(scenario())
+
+
 def test_job_that_is_read_after_its_cancellation_starts_nothing() -> None:
     """Guards against a cancelled job that runs after a planner read the store anew.
 
