Ask the store for at least the largest record in a read

What callers would see: no daemon learns of anything that was recorded after a large record; not seen in a deployment.

Cause: daemons asked for at most 256 KB (max_kb), a constant. If the store cuts its answer there, a larger record is never complete; one at today's limit has 4 bytes more with its length.

Change: a read asks for record_bytes of the settings at least. The stand-in store cuts its answers at max_kb.

Evidence: test_record_larger_than_a_usual_page_is_read on a copy with the constant: no daemon shows the job as completed within 20 s; with the change it passes.

Cost: none below the limit; a page has up to 257 KB.

--- a/src/cardamomdyke/control/app.py
+++ b/src/cardamomdyke/control/app.py
@@ -75,7 +75,9 @@
     http = make_http_client(settings.host)
     metrics = make_metrics(journal)
     contact = StoreContact(read_clock, metrics.observe_store_call)
-    store = StoreClient(http, settings.store.address, contact)
+    store = StoreClient(
+        http, settings.store.address, contact, settings.store.limits.record_bytes
+    )
     ledger = Ledger()
     operator = OperatorState(journal)
     work_feed = TopicFeed(
--- a/src/cardamomdyke/platform/store.py
+++ b/src/cardamomdyke/platform/store.py
@@ -34,8 +34,9 @@
 PAGE_STALL_TIMEOUT_SECONDS = 1.5
 # A page has up to 1 MB, which takes 1.7 s on a link of 5 Mbit/s.
 PAGE_TIMEOUT_SECONDS = 6.0
-# Largest answer to a read; 0.4 s on a link of 5 Mbit/s.
+# Largest answer to a read of records below this size; 0.4 s on a link of 5 Mbit/s.
 MAX_READ_KB = 256
+KILOBYTE = 1024
 # Answers in the range of a caller's faults that a later try need not get: a timeout, a
 # conflict, a condition that does not hold, and too many calls.
 PASSING_CODES = frozenset({408, 409, 412, 425, 429})
@@ -209,11 +210,14 @@
         ``host:port`` of the store.
     contact : StoreContact
         Contact with the store.
+    record_limit_bytes : int
+        Largest record; a read asks for as much at least.
     """
 
     http: CurlAsyncHTTPClient
     address: str
     contact: StoreContact
+    record_limit_bytes: int = 0
 
     async def append_records(
         self,
@@ -281,7 +285,7 @@
             "part": 0,
             "from": offset,
             "wait_ms": round(wait_seconds * 1000),
-            "max_kb": MAX_READ_KB,
+            "max_kb": max(MAX_READ_KB, self.record_limit_bytes // KILOBYTE + 1),
         }
         timeout = wait_seconds + (
             POLL_MARGIN_SECONDS if wait_seconds else CALL_TIMEOUT_SECONDS
--- a/src/cardamomdyke_standins/platform_store.py
+++ b/src/cardamomdyke_standins/platform_store.py
@@ -244,10 +244,10 @@
             self.finish(encode({"first_offset": partition.first}))
             return
         records = partition.records[start - partition.first :]
-        framed = [RECORD_LENGTH.pack(len(item)) + item for item in records]
-        self.finish(
-            OFFSET_BOUNDS.pack(partition.end, partition.first) + b"".join(framed)
-        )
+        framed = b"".join(RECORD_LENGTH.pack(len(item)) + item for item in records)
+        limit = int(argument("max_kb", "1024")) * 1024
+        bounds = OFFSET_BOUNDS.pack(partition.end, partition.first)
+        self.finish(bounds + framed[:limit])
 
 
 class NewestHandler(FaultyHandler):
--- a/tests/processes/test_record_limits.py
+++ b/tests/processes/test_record_limits.py
@@ -80,3 +80,20 @@
     assert {line["subject"] for line in list_lines(nodes, "progress.split")} == {
         WIDE_JOB
     }
+
+
+def test_record_larger_than_a_usual_page_is_read(tmp_path: Path) -> None:
+    """Guards against daemons that wait for ever for the rest of a large record.
+
+    The store may cut the answer to a read at the size that was asked for.
+    """
+    limits = {"record_bytes": 600_000, "append_bytes": 1_200_000}
+    with run_nodes(tmp_path, **limits) as nodes:
+        plan = StepPlan(2.5, 1, saves=True, checkpoint_length=500_000)
+        body = make_body(1, plan)
+        assert nodes.call("vm0", "POST", PATH_PREFIX + WIDE_JOB, body)[0] == 200
+        for vm in nodes.callers:
+            wait_until(
+                lambda vm=vm: nodes.read_state(vm, WIDE_JOB) == "completed",  # type: ignore[misc]
+                20.0,
+            )
