Count the leases of a lost server from its recorded silence

A job whose servers were gone stood still for up to 19 s, since each change of the planner waited for the longest lease anew; nothing bounded how often.

Cause: records did not say since when a server was silent, so a new planner counted from its own takeover.

Change: a planner records a server with runs that is silent for 1 s, with the age of the silence, and renews the record each second. While it is in the store, no planner grants that server a lease; one that gets an answer removes it first. A new planner counts the longest lease from there (planner/silences.py).

Why this works: leases are granted by planners only, none while the record stands, and its age is a lower bound by the steady clock of the planner that wrote it. The 1.1 s in which the planner before may renew are added as before.

Cost: a record of some 50 bytes a second for each silent server with runs; a server that answers again gets its next lease one append later.

--- a/src/cardamomdyke/control/app.py
+++ b/src/cardamomdyke/control/app.py
@@ -40,6 +40,7 @@
     decode_peer,
     encode_peer,
 )
+from cardamomdyke.planner.silences import SILENCE_PREFIX
 from cardamomdyke.platform.records import KeyedRecord
 from cardamomdyke.platform.settings import NodeSettings
 from cardamomdyke.platform.store import (
@@ -110,6 +111,12 @@
     def apply(record: KeyedRecord) -> None:
         if record.key == HEARTBEAT_KEY:
             planner_runner.candidacy.record_heartbeat()
+            if record.value.isdigit():
+                context.heartbeat_fence = int(record.value)
+            return
+        if record.key.startswith(SILENCE_PREFIX):
+            if not context.silences.apply(record.key, record.value, read_clock()):
+                context.journal.write("record.malformed", record.key)
             return
         if record.key.startswith(PEER_PREFIX):
             apply_peer(context, record)
@@ -123,6 +130,7 @@
 
     def reset() -> None:
         context.ledger.clear()
+        context.silences.silences.clear()
         context.retention.clear()
 
     context.work_feed.apply = apply
--- a/src/cardamomdyke/control/context.py
+++ b/src/cardamomdyke/control/context.py
@@ -15,6 +15,7 @@
 from cardamomdyke.membership.peers import Peer
 from cardamomdyke.model.queues import QueueTables
 from cardamomdyke.model.servers import ServerEntry
+from cardamomdyke.planner.silences import SilenceLedger
 from cardamomdyke.platform.records import KeyedRecord
 from cardamomdyke.platform.servers import decode_entry
 from cardamomdyke.platform.settings import NodeSettings
@@ -176,6 +177,10 @@
         Registry and histograms for scrapers.
     appender : Appender
         Appends the records of caller requests.
+    silences : SilenceLedger
+        Servers that planners have recorded as silent.
+    heartbeat_fence : int
+        Fencing token in the newest heartbeat of a planner; 0 before the first.
     peers : dict of str to Peer
         Daemons that have announced themselves, by VM.
     ledger_changed : asyncio.Event
@@ -198,6 +203,8 @@
     retention: Retention
     metrics: Metrics
     appender: Appender
+    silences: SilenceLedger = field(default_factory=SilenceLedger)
+    heartbeat_fence: int = 0
     peers: dict[str, Peer] = field(default_factory=dict)
     ledger_changed: asyncio.Event = field(default_factory=asyncio.Event)
     unix_clock: UnixClock = field(default_factory=make_unix_clock)
--- a/src/cardamomdyke/control/driver.py
+++ b/src/cardamomdyke/control/driver.py
@@ -59,6 +59,10 @@
     handle_start_answer,
     handle_stop_answer,
 )
+from cardamomdyke.planner.silences import (
+    handle_silences_recorded,
+    list_silence_records,
+)
 from cardamomdyke.planner.state import (
     PlannerState,
     Server,
@@ -506,12 +510,14 @@
         self.spawn(self.record_append(append or ProgressAppend({}), other_records))
 
     def take_other_records(self, limit_bytes: int) -> list[KeyedRecord]:
-        """Return heartbeats and removals that are due, within a limit.
+        """Return heartbeats, silences and removals that are due, within a limit.
 
         Only each other append has removals, so that those of large jobs leave room for
         the largest record.
         """
         taken = self.list_heartbeats()
+        silences = list_silence_records(self.state, read_clock())
+        taken += [KeyedRecord(key, value) for key, value in silences]
         self.removing = not self.removing
         if not self.removing:
             return taken
@@ -573,6 +579,9 @@
             self.context.journal.write(
                 "record.refused", other_records[0].key, detail=detail
             )
+        else:
+            entries = [(record.key, record.value) for record in other_records]
+            handle_silences_recorded(self.state, entries)
         handle_appended(self.state, append, result.ok, read_clock())
         self.perform_actions()
         self.recorded.set()
--- a/src/cardamomdyke/control/terms.py
+++ b/src/cardamomdyke/control/terms.py
@@ -18,6 +18,7 @@
 from cardamomdyke.planner.inputs import Limits
 from cardamomdyke.planner.polls import update_servers
 from cardamomdyke.planner.progress import restore_jobs
+from cardamomdyke.planner.silences import inherit_silences
 from cardamomdyke.planner.state import PlannerState
 from cardamomdyke.platform.servers import ServerClient
 
@@ -71,6 +72,7 @@
         unix_offset=context.unix_clock.offset,
         tables=context.operator.tables,
     )
+    inherit_silences(state, context.silences.list_vouched(context.heartbeat_fence))
     update_servers(state, directory.list_entries(), now)
     restore_jobs(state, context.ledger, now)
     context.journal.write(
--- a/src/cardamomdyke/planner/inputs.py
+++ b/src/cardamomdyke/planner/inputs.py
@@ -117,6 +117,29 @@
     next_try_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Silence:
+    """A server to which no planner grants a lease until its record is removed.
+
+    Attributes
+    ----------
+    origin : str
+        Identifies the silence; later planners keep it.
+    fence : int
+        Fencing token of the planner that recorded it last.
+    since : float
+        From when on no lease was granted, at the latest, in steady-clock seconds of
+        this daemon.
+    recorded_at : float
+        When this planner recorded it last, by the same clock; 0 for not yet.
+    """
+
+    origin: str
+    fence: int
+    since: float
+    recorded_at: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class UnrecordedEnd:
     """An end of a run whose effect on its job is not recorded yet.
--- a/src/cardamomdyke/planner/placement.py
+++ b/src/cardamomdyke/planner/placement.py
@@ -98,6 +98,8 @@
     if not is_in_service(state, server, pool):
         return False
     answering = not server.failing_since and server.reading is not None
+    # Starts need a lease.
+    answering = answering and server.entry.name not in state.silences
     recent = now - server.last_contact_at <= MAX_CONTACT_AGE_SECONDS
     return answering and recent and server.starts_paused_until <= now
 
--- a/src/cardamomdyke/planner/polls.py
+++ b/src/cardamomdyke/planner/polls.py
@@ -39,7 +39,7 @@
     PlannerState,
     Server,
     Unit,
-    find_takeover_expiry,
+    find_earlier_expiry,
     find_unit,
     list_holders,
 )
@@ -90,7 +90,7 @@
         server = state.servers.get(name)
         if server is None:
             server = state.servers[name] = Server(entry)
-            server.inherited_until = find_takeover_expiry(state)
+            server.inherited_until = find_earlier_expiry(state, name)
         elif entry.draining and not server.entry.draining:
             state.note("server.draining", name, remaining=entry.remaining_seconds)
         server.entry = entry
@@ -146,7 +146,8 @@
     lease_until = None
     # A poll that fails may still have renewed the lease. A server that does not answer
     # gets no further renewals, or its runs could never be taken as ended.
-    if may_grant and server.reading is not None and not server.failing_since:
+    silent = bool(server.failing_since) or server.entry.name in state.silences
+    if may_grant and server.reading is not None and not silent:
         seconds = state.limits.lease_seconds
         if server.entry.draining:
             seconds = min(seconds, DRAINING_LEASE_SECONDS)
--- a/src/cardamomdyke/planner/progress.py
+++ b/src/cardamomdyke/planner/progress.py
@@ -25,7 +25,7 @@
     PlannerState,
     Server,
     Unit,
-    find_takeover_expiry,
+    find_earlier_expiry,
 )
 
 
@@ -206,6 +206,6 @@
     if server is None:
         entry = ServerEntry(name, "", "", "", Shape())
         server = Server(entry, listed=False, failing_since=now)
-        server.inherited_until = find_takeover_expiry(state)
+        server.inherited_until = find_earlier_expiry(state, name)
         state.servers[name] = server
     return server
--- a/src/cardamomdyke/planner/replies.py
+++ b/src/cardamomdyke/planner/replies.py
@@ -53,12 +53,15 @@
     Returns
     -------
     float or None
-        Expiry by the server's clock, in seconds; None if that clock is not known, or
-        if the attempt has ended or is being stopped meanwhile.
+        Expiry by the server's clock, in seconds; None if that clock is not known, if
+        the server is recorded as silent, or if the attempt has ended or is being
+        stopped meanwhile.
     """
     record_start(state, server, task, run, now)
     found = find_member(state, server, task, run)
-    if server.reading is None or found is None or found[2].stop_requested:
+    if server.reading is None or server.entry.name in state.silences:
+        return None
+    if found is None or found[2].stop_requested:
         return None
     found[2].last_sent_at = now
     lease_until = estimate_clock(server.reading, now) + START_LEASE_SECONDS
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -22,6 +22,7 @@
     RunKey,
     SetAside,
     ShareBalance,
+    Silence,
     UnitKey,
     UnrecordedEnd,
     UnsettledStart,
@@ -423,6 +424,8 @@
     unanswered_grants : dict of str to float
         When the newest unanswered poll that renews a lease was sent, by name of the
         server. Outlives the server's entry.
+    silences : dict of str to Silence
+        Servers that are recorded as silent, by name; they are granted no lease.
     """
 
     limits: Limits
@@ -449,6 +452,7 @@
         default_factory=dict
     )
     unanswered_grants: dict[str, float] = field(default_factory=dict)
+    silences: dict[str, Silence] = field(default_factory=dict)
 
     def note(self, kind: str, subject: str, **facts: object) -> None:
         """Add an action that writes a log line."""
@@ -528,13 +532,18 @@
     return (job, unit) if unit is not None else (None, None)
 
 
-def find_takeover_expiry(state: PlannerState) -> float:
-    """Return when all leases that earlier planners have granted are over.
+def find_earlier_expiry(state: PlannerState, name: str) -> float:
+    """Return when all leases that earlier planners have granted a server are over.
 
     An earlier planner may go on renewing leases for a while after the takeover, since
-    the store can deal the partitions anew before that planner has heard of it.
+    the store can deal the partitions anew before that planner has heard of it. None
+    does so once the server is recorded as silent.
     """
-    granted_before = state.took_over_at + state.limits.overlap_seconds
+    granted_before = state.took_over_at
+    silence = state.silences.get(name)
+    if silence is not None:
+        granted_before = min(granted_before, silence.since)
+    granted_before += state.limits.overlap_seconds
     return find_inherited_expiry(granted_before, state.limits.lease_seconds)
 
 
--- a/tests/planner/world.py
+++ b/tests/planner/world.py
@@ -47,13 +47,23 @@
     update_servers,
 )
 from cardamomdyke.planner.progress import add_job, restore_jobs
-from cardamomdyke.planner.recording import handle_appended, take_append
+from cardamomdyke.planner.recording import (
+    ProgressAppend,
+    handle_appended,
+    take_append,
+)
 from cardamomdyke.planner.replies import (
     expire_starts,
     grant_start_lease,
     handle_start_answer,
     handle_stop_answer,
 )
+from cardamomdyke.planner.silences import (
+    SilenceLedger,
+    handle_silences_recorded,
+    inherit_silences,
+    list_silence_records,
+)
 from cardamomdyke.planner.state import PlannerState, find_checkpoint
 from cardamomdyke_standins.platform_server import (
     GANG_TIMEOUT_SECONDS,
@@ -126,6 +136,7 @@
     records: list[tuple[str, bytes]] = field(default_factory=list)
     record_limits: RecordLimits = RecordLimits(262_144, 2_097_152)
     refused_jobs: set[str] = field(default_factory=set)
+    silences: SilenceLedger = field(default_factory=SilenceLedger)
     notes: list[Note] = field(default_factory=list)
     epoch: int = 0
     store_up: bool = True
@@ -291,6 +302,7 @@
         state = PlannerState(
             limits, self.epoch, self.now, unix_offset, self.make_tables()
         )
+        inherit_silences(state, self.silences.silences)
         update_servers(state, self.listed.values(), self.now)
         restore_jobs(state, ledger, self.now)
         planner = Planner(
@@ -359,10 +371,12 @@
         """Append the changes; the store refuses the append of a previous planner."""
         if planner.recording:
             return
+        silences = list_silence_records(planner.state, self.now)
         append = take_append(planner.state, self.record_limits, self.now)
         self.carry_out(planner)
-        if append is None:
+        if append is None and not silences:
             return
+        append = append or ProgressAppend({})
         planner.recording = True
         refused: dict[str, str] = {}
 
@@ -384,6 +398,9 @@
                 if job_id not in refused
                 for entry in entries
             ]
+            for key, value in silences:
+                # All daemons read it, and the next planner is one of them.
+                assert self.silences.apply(key, value, self.now)
             self.check_append(added)
             self.records += added
             self.schedule(STORE_DELAY_SECONDS, answer)
@@ -394,6 +411,7 @@
                 return
             planner.recording = False
             if self.is_running(planner):
+                handle_silences_recorded(planner.state, silences)
                 handle_appended(planner.state, append, refused, self.now)
                 self.carry_out(planner)
 
