Remove a unit's record before its fragments

What would be seen: a key that stays in the store for good, after a planner ends while it removes the records of a unit of a closed occurrence; not seen in a deployment.

Cause: keys were removed in their order, fragments first. A record that lists fragments which are gone cannot be read, so a daemon that starts then does not know its key and never removes it.

Change: the record goes first; the fragments that are left are known by their own keys.

--- a/src/cardamomdyke/jobs/layout.py
+++ b/src/cardamomdyke/jobs/layout.py
@@ -218,7 +218,9 @@
     add_value(key, whole)
     in_use = {*units, *(name for names in fragments.values() for name in names)}
     surplus = list_keys(stored) - in_use
-    entries += [(name, b"") for name in sorted(surplus)]
+    # Units go before their fragments: a record that lists fragments which are gone
+    # cannot be read, so its key would not be known any more.
+    entries += [(name, b"") for name in sorted(surplus, reverse=True)]
     return entries, StoredProgress(split, units, fragments)
 
 
--- a/tests/jobs/test_layout.py
+++ b/tests/jobs/test_layout.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 from msgspec.msgpack import encode
 from msgspec.structs import replace
@@ -224,7 +224,8 @@
     assert journal.read_newest() == Ledger()
 
 
-CHECKPOINTS = st.sampled_from(["", "x" * 20, "y" * 500, "z" * 3000])
+LONG = "y" * 500
+CHECKPOINTS = st.sampled_from(["", "x" * 20, LONG, "z" * 3000])
 UNITS = st.dictionaries(st.integers(0, 5), CHECKPOINTS, min_size=1)
 
 
@@ -233,6 +234,7 @@
         st.tuples(UNITS, st.booleans(), st.floats(0.0, 1.0)), min_size=1, max_size=6
     )
 )
+@example(versions=[({1: LONG}, False, 1.0), ({0: ""}, False, 0.75), ({0: ""}, True, 1)])
 def test_interrupted_writes_lose_nothing(
     versions: list[tuple[dict[int, str], bool, float]],
 ) -> None:
