Keep the unsettled starts of earlier planners in mind

A start without an answer was carried out by the next instance of its server, after the planner had changed twice and the task ran elsewhere.

Cause: unsettled starts were known to the planner that sent them only. A new planner took a recorded start that was not listed for one that never ran, counted its server as idle and polled it each 2 s.

Change: a planner that takes over keeps each recorded start in mind until its run is listed or it cannot last any more (24 s where leases last 10 s), and the record of a task or gang names the unsettled starts of its earlier runs.

Why this works: a server with an unsettled start is polled without a pause, so its next instance soon has the fencing token and the stop of that start.

Cost: one byte more in the record of each task, some 40 for each unsettled start.

--- a/src/cardamomdyke/jobs/records.py
+++ b/src/cardamomdyke/jobs/records.py
@@ -94,6 +94,27 @@
     instance: int
 
 
+class StartRecord(Struct, frozen=True, array_like=True):
+    """A start of an earlier run that may still take effect.
+
+    Attributes
+    ----------
+    index : int
+        Number of the task within its step.
+    server : str
+        Name of the backend server.
+    instance : int
+        Instance of the server to which it was sent last.
+    run : int
+        Number of the run.
+    """
+
+    index: int
+    server: str
+    instance: int
+    run: int
+
+
 class UnitRecord(Struct, frozen=True, array_like=True):
     """Progress of a unit, which starts together: one task or a gang.
 
@@ -129,6 +150,8 @@
         The same of crashes that do not make the unit suspect.
     possible_crashes : tuple of (int, int)
         The same of starts of which it is not known whether they took effect.
+    unsettled_starts : tuple of StartRecord
+        Starts of earlier runs that got no answer.
     """
 
     occurrence: int
@@ -144,6 +167,7 @@
     silent_starts: tuple[tuple[int, int], ...] = ()
     later_crashes: tuple[tuple[int, int], ...] = ()
     possible_crashes: tuple[tuple[int, int], ...] = ()
+    unsettled_starts: tuple[StartRecord, ...] = ()
 
 
 class JobProgress(Struct, frozen=True, array_like=True):
--- a/src/cardamomdyke/planner/progress.py
+++ b/src/cardamomdyke/planner/progress.py
@@ -1,5 +1,8 @@
 """Progress of jobs: converted to records, and restored after a takeover."""
 
+from collections.abc import Mapping, Sequence
+from types import MappingProxyType
+
 from cardamomdyke.jobs.ledger import Ledger, find_stored, read_progress
 from cardamomdyke.jobs.records import (
     FINAL_PHASES,
@@ -8,6 +11,7 @@
     JobProgress,
     JobRecord,
     MemberRecord,
+    StartRecord,
     UnitRecord,
 )
 from cardamomdyke.model.orders import Shape
@@ -15,6 +19,7 @@
 from cardamomdyke.planner.attempts import abort_attempt, cancel_job, end_job
 from cardamomdyke.planner.crashes import list_suspect_indices
 from cardamomdyke.planner.headroom import record_arrival
+from cardamomdyke.planner.inputs import UnitKey
 from cardamomdyke.planner.occurrences import open_next, open_occurrences
 from cardamomdyke.planner.shares import check_share
 from cardamomdyke.planner.state import (
@@ -27,9 +32,16 @@
     Unit,
     find_earlier_expiry,
 )
+from cardamomdyke.planner.unsettled import inherit_start
+
+NO_STARTS: Mapping[UnitKey, Sequence[StartRecord]] = MappingProxyType({})
 
 
-def make_progress(job: Job, unix_offset: float) -> JobProgress:
+def make_progress(
+    job: Job,
+    unix_offset: float,
+    unsettled_starts: Mapping[UnitKey, Sequence[StartRecord]] = NO_STARTS,
+) -> JobProgress:
     """Create the progress record of a job.
 
     Parameters
@@ -38,6 +50,8 @@
         Job to record.
     unix_offset : float
         Unix time minus steady-clock time, in seconds.
+    unsettled_starts : mapping of UnitKey to sequence of StartRecord
+        Starts of the units that may still take effect.
 
     Returns
     -------
@@ -48,7 +62,7 @@
     if phase is JobPhase.QUEUED and job.begun:
         phase = JobPhase.RUNNING
     units = tuple(
-        make_unit_record(unit, unix_offset)
+        make_unit_record(unit, unix_offset, unsettled_starts.get(unit.key, ()))
         for unit in job.units.values()
         if unit.last_run
     )
@@ -59,7 +73,9 @@
     return JobProgress(phase, job.begun, job.ended_at, units, closed_below, later)
 
 
-def make_unit_record(unit: Unit, unix_offset: float) -> UnitRecord:
+def make_unit_record(
+    unit: Unit, unix_offset: float, unsettled_starts: Sequence[StartRecord] = ()
+) -> UnitRecord:
     """Create the progress record of a unit and its active members."""
     members: tuple[MemberRecord, ...] = ()
     began_at = 0.0
@@ -85,6 +101,8 @@
         tuple(sorted(unit.silent_starts)),
         tuple(sorted(unit.later_crashes)),
         tuple(sorted(unit.possible_crashes)),
+        # The starts of the current run are those of its members.
+        tuple(start for start in unsettled_starts if start.run != unit.last_run),
     )
 
 
@@ -165,6 +183,9 @@
         unit.possible_crashes = set(record.possible_crashes)
         if list_suspect_indices(unit):
             state.suspect_units.add((job.job_id, unit.key))
+        for start in record.unsettled_starts:
+            task = job.make_task_id(unit, start.index)
+            inherit_start(state, start.server, start.instance, task, start.run)
         if record.members:
             restore_attempt(state, job, unit, record, now)
 
@@ -182,6 +203,8 @@
         members[item.index] = member
         server = ensure_server(state, item.server, now)
         server.holders[(job.job_id, unit.key, item.index)] = shape
+        task = job.make_task_id(unit, item.index)
+        inherit_start(state, item.server, item.instance, task, record.run)
     unit.attempt = Attempt(
         record.run, members, now - measure_run_age(state, record, now)
     )
--- a/src/cardamomdyke/planner/recording.py
+++ b/src/cardamomdyke/planner/recording.py
@@ -14,6 +14,7 @@
     measure_append,
     plan_records,
 )
+from cardamomdyke.jobs.records import JobProgress
 from cardamomdyke.planner.acknowledgements import release_ends
 from cardamomdyke.planner.actions import SendStart
 from cardamomdyke.planner.attempts import abort_attempt
@@ -22,7 +23,7 @@
     RefusedProgress,
     SetAside,
 )
-from cardamomdyke.planner.progress import make_progress
+from cardamomdyke.planner.progress import NO_STARTS, make_progress
 from cardamomdyke.planner.state import (
     Attempt,
     Job,
@@ -30,6 +31,7 @@
     PlannerState,
     Unit,
 )
+from cardamomdyke.planner.unsettled import list_start_records
 
 # Progress that the store has refused is tried again after this time, since new settings
 # may bring other limits.
@@ -92,6 +94,7 @@
 
 def begin_writes(state: PlannerState, limits: RecordLimits, now: float) -> None:
     """Begin to write the jobs that have changed and are not being written."""
+    starts = list_start_records(state) if state.changed else {}
     for job_id in list(state.changed):
         refused = state.refused.get(job_id)
         waits = refused is not None and now < refused.next_try_at
@@ -100,17 +103,21 @@
         job = state.jobs[job_id]
         del state.changed[job_id]
         try:
-            state.writes[job_id] = make_write(state, job, limits)
+            progress = make_progress(
+                job, state.unix_offset, starts.get(job_id, NO_STARTS)
+            )
+            state.writes[job_id] = make_write(state, job, progress, limits)
         except Exception as error:
             # An error that ends the term would end that of each later planner too.
             refuse_progress(state, job, repr(error), now)
 
 
-def make_write(state: PlannerState, job: Job, limits: RecordLimits) -> ProgressWrite:
+def make_write(
+    state: PlannerState, job: Job, progress: JobProgress, limits: RecordLimits
+) -> ProgressWrite:
     """Create the write of a job's progress."""
     # No planner has used this version, since each has a fence of its own.
     version = f"{state.fence}.{job.revision}"
-    progress = make_progress(job, state.unix_offset)
     entries, stored = plan_records(
         job.job_id, progress, job.stored, version, limits.record_bytes
     )
--- a/src/cardamomdyke/planner/unsettled.py
+++ b/src/cardamomdyke/planner/unsettled.py
@@ -5,9 +5,10 @@
 that has replaced it. The planner stops such starts on each new instance.
 """
 
+from cardamomdyke.jobs.records import StartRecord
 from cardamomdyke.model.orders import TaskId
 from cardamomdyke.planner.actions import SendStop
-from cardamomdyke.planner.inputs import UnsettledStart
+from cardamomdyke.planner.inputs import UnitKey, UnsettledStart
 from cardamomdyke.planner.leases import find_inherited_expiry
 from cardamomdyke.planner.state import (
     Attempt,
@@ -54,6 +55,47 @@
     start.sent_at = now
 
 
+def inherit_start(
+    state: PlannerState, server: str, instance: int, task: TaskId, run: int
+) -> None:
+    """Keep a start in mind that an earlier planner sent, maybe without an answer.
+
+    Records do not say when it was sent last.
+
+    Parameters
+    ----------
+    state : PlannerState
+        Modified in place.
+    server : str
+        Name of the server of the run.
+    instance : int
+        Instance of the server to which the start was addressed.
+    task : TaskId
+        Task that was started.
+    run : int
+        Number of the run.
+    """
+    sent_before = state.took_over_at + state.limits.overlap_seconds
+    starts = state.unsettled_starts.setdefault(server, {})
+    starts[task, run] = UnsettledStart(instance, calls=1, sent_at=sent_before)
+
+
+def list_start_records(
+    state: PlannerState,
+) -> dict[str, dict[UnitKey, list[StartRecord]]]:
+    """Return the starts that may still take effect, by job id and unit."""
+    records: dict[str, dict[UnitKey, list[StartRecord]]] = {}
+    for name, starts in state.unsettled_starts.items():
+        for (task, run), start in starts.items():
+            unit = find_unit(state, task)[1]
+            if unit is not None:
+                units = records.setdefault(task.job_id, {})
+                units.setdefault(unit.key, []).append(
+                    StartRecord(task.index, name, start.instance, run)
+                )
+    return records
+
+
 def settle_call(state: PlannerState, name: str, task: TaskId, run: int) -> None:
     """Settle one call of a start, which was answered or never sent."""
     start = find_start(state, name, task, run)
@@ -151,8 +193,12 @@
     float
         Steady-clock seconds; 0 if no such start is known.
     """
-    starts = state.unsettled_starts.get(server.entry.name, {}).values()
-    return max((start.sent_at + LATE_ORDER_SECONDS for start in starts), default=0.0)
+    arrivals = (
+        start.sent_at + LATE_ORDER_SECONDS
+        for start in state.unsettled_starts.get(server.entry.name, {}).values()
+        if start.instance != server.instance
+    )
+    return max(arrivals, default=0.0)
 
 
 def find_arrival(
--- a/tests/planner/test_late_orders.py
+++ b/tests/planner/test_late_orders.py
@@ -238,6 +238,37 @@
     check_single_run(world)
 
 
+@pytest.mark.parametrize("takeovers", [1, 2])
+@pytest.mark.parametrize("late", [9.5, 11.9])
+def test_late_start_of_an_earlier_planner_does_not_run_on_a_later_instance(
+    late: float, takeovers: int
+) -> None:
+    """Guards against a start that only an earlier planner has in mind.
+
+    The next planner finds no run, and starts the task on another server. An idle server
+    is polled each 2 s only, and a later instance does not know the fencing token.
+    """
+    world = make_world(2)
+    world.start_faults = [(Fault.LATE, late)]
+    submit_task(world)
+    world.run_for(0.2)
+    server = find_server(world)
+    arrives_at = world.now + late
+    world.refusing.add(server.name)
+    for _ in range(takeovers):
+        world.planner.alive = False
+        world.take_over()
+        world.run_for(1.0)
+    world.run_for(arrives_at - 0.5 - world.now)
+    assert find_server(world) is not server
+    while server.name not in world.planner.due_polls:
+        # A poll that is under way would be lost with the instance before.
+        world.run_for(0.001)
+    restart_server(world, server, 0.001)
+    world.run_for(15.0)
+    check_single_run(world)
+
+
 def test_start_of_a_done_task_does_not_run_on_a_later_instance() -> None:
     """Guards against the late first copy of a start whose repeat has ended `done`."""
     world = make_world(1)
