Find the ready tasks of a job in one pass over its units

Four jobs with a step of 2,950 tasks after another step, and almost nothing started on 24 idle servers, while the planner changed each two seconds.

Cause: for each task of a step with "after", all units of its job were looked at, twice in a planning pass. With the earlier step done, a pass over one such job took 947 ms here (277 ms with 1,600 tasks, 18 ms with 400), and no join is sent meanwhile, so the membership of 1.2 s ended.

Change: the unfinished steps of a job are listed once, and each task is compared with these.

--- a/src/cardamomdyke/planner/claims.py
+++ b/src/cardamomdyke/planner/claims.py
@@ -39,15 +39,22 @@
 )
 from cardamomdyke.planner.relaxation import ISOLATION, may_relax
 from cardamomdyke.planner.seeking import count_placed
-from cardamomdyke.planner.state import Job, Unit, is_ready, list_indices
+from cardamomdyke.planner.state import (
+    Job,
+    Unit,
+    is_ready,
+    list_indices,
+    list_unfinished_steps,
+)
 
 
 def hold_reservations(draft: Draft, job: Job) -> None:
     """Subtract a job's reservations from the free capacity; drop unusable ones."""
     pool_capacity = find_pool_capacity(draft, job.record.pool)
+    unfinished = list_unfinished_steps(job)
     for unit in job.units.values():
         usable = all(name in pool_capacity.by_name for name in unit.reserved_servers)
-        if not usable or not is_ready(job, unit, draft.now):
+        if not usable or not is_ready(job, unit, unfinished, draft.now):
             unit.reserved_servers = ()
         take_reservation(draft, pool_capacity, job, unit)
         if unit.reserved_servers and may_close_ahead(draft, job, unit):
@@ -60,11 +67,12 @@
     Long-running units may wait in a full pool, where guarantees go first.
     """
     by_name = find_pool_capacity(draft, job.record.pool).by_name
+    unfinished = list_unfinished_steps(job)
     for unit in job.units.values():
         if not unit.reserved_servers or job.find_step(unit).long_running:
             continue
         usable = all(name in by_name for name in unit.reserved_servers)
-        ready = usable and is_ready(job, unit, draft.now)
+        ready = usable and is_ready(job, unit, unfinished, draft.now)
         if ready and may_close_ahead(draft, job, unit):
             close_reserved(draft, job, unit)
 
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -51,6 +51,7 @@
     has_work,
     is_ready,
     list_indices,
+    list_unfinished_steps,
 )
 
 # A job that could not be planned because of an unexpected error is tried again after
@@ -177,7 +178,12 @@
     Once a unit does not fit, the rest of its step is skipped, except units for which
     capacity is reserved.
     """
-    ready = [unit for unit in job.units.values() if is_ready(job, unit, draft.now)]
+    unfinished = list_unfinished_steps(job)
+    ready = [
+        unit
+        for unit in job.units.values()
+        if is_ready(job, unit, unfinished, draft.now)
+    ]
     if not ready:
         return
     for unit in ready:
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -485,19 +485,34 @@
     return list(range(step.count)) if unit.key[2] == GANG_INDEX else [unit.key[2]]
 
 
-def is_ready(job: Job, unit: Unit, now: float) -> bool:
+def list_unfinished_steps(job: Job) -> frozenset[tuple[int, int]]:
+    """Return occurrence and step of each step with a unit that is not done."""
+    return frozenset(unit.key[:2] for unit in job.units.values() if not unit.done)
+
+
+def is_ready(
+    job: Job, unit: Unit, unfinished_steps: frozenset[tuple[int, int]], now: float
+) -> bool:
     """Return whether a unit waits only for resources.
 
     The earlier steps that it depends on must be done in its occurrence.
+
+    Parameters
+    ----------
+    job : Job
+        Job of the unit.
+    unit : Unit
+        The unit.
+    unfinished_steps : frozenset of (int, int)
+        `list_unfinished_steps` of the job, which takes time in proportion to its units.
+    now : float
+        Steady-clock seconds.
     """
     if unit.done or unit.attempt is not None or unit.not_before > now:
         return False
+    occurrence = unit.key[0]
     required = job.find_step(unit).after
-    return not required or all(
-        other.done
-        for other in job.units.values()
-        if other.key[1] in required and other.key[0] == unit.key[0]
-    )
+    return not any((occurrence, step) in unfinished_steps for step in required)
 
 
 def has_work(state: PlannerState, job: Job) -> bool:
