Refuse settings with which nothing can be recorded

What would be seen: a daemon whose VM has a name of more than 254 bytes starts its announcement again and again, since the store's keys have 255 bytes; not seen in a deployment.

Cause: the length of the name was not checked.

Change: such settings are refused with the field named, as those are whose record_bytes or request_bytes are too small or missing.

Evidence: the case "node_name" of test_settings_with_which_nothing_can_be_recorded_are_refused fails without the check; the others pass before too.

--- a/src/cardamomdyke/platform/settings.py
+++ b/src/cardamomdyke/platform/settings.py
@@ -7,7 +7,9 @@
 from msgspec.json import Decoder
 
 from cardamomdyke.jobs.layout import RECORD_LENGTH_BYTES, RecordLimits
+from cardamomdyke.membership.peers import PEER_PREFIX
 from cardamomdyke.model.errors import DECODE_ERRORS, Problem, ProblemKind, make_problem
+from cardamomdyke.platform.records import MAX_KEY_BYTES
 
 # Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE = "CARDAMOMDYKE_CONFIG"
@@ -157,7 +159,7 @@
         message = f"the platform's settings file cannot be used: {error}"
         return Error(make_problem(ProblemKind.INVALID_SETTING, message))
     limits = RecordLimits(wire.platform.record_bytes, wire.platform.request_bytes)
-    fault = find_limit_fault(limits)
+    fault = find_name_fault(wire.node_name) or find_limit_fault(limits)
     if fault:
         message = f"the platform's settings file cannot be used: {fault}"
         return Error(make_problem(ProblemKind.INVALID_SETTING, message))
@@ -176,6 +178,14 @@
     )
 
 
+def find_name_fault(vm: str) -> str:
+    """Return what is wrong with the name of a VM; empty when it can be used."""
+    size = len((PEER_PREFIX + vm).encode())
+    if size <= MAX_KEY_BYTES:
+        return ""
+    return f"node_name makes a key of {size} bytes; the store takes {MAX_KEY_BYTES}"
+
+
 def find_limit_fault(limits: RecordLimits) -> str:
     """Return what is wrong with the store's limits; empty when they can be used."""
     if limits.record_bytes < MIN_RECORD_BYTES:
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -11,10 +11,22 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from msgspec.json import encode
+from msgspec.msgpack import encode as encode_record
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
+from cardamomdyke.jobs.layout import (
+    FRAGMENT_MARK,
+    FragmentList,
+    read_fragment_list,
+)
 from cardamomdyke.jobs.ledger import ChangeKind, Ledger, apply_record
-from cardamomdyke.jobs.records import JOB_PREFIX, decode_job, decode_progress
+from cardamomdyke.jobs.records import (
+    JOB_PREFIX,
+    UNIT_PREFIX,
+    decode_job,
+    decode_progress,
+    decode_unit,
+)
 from cardamomdyke.membership.peers import decode_peer
 from cardamomdyke.platform.records import decode_page
 from cardamomdyke.platform.servers import ServerClient, decode_entry
@@ -29,6 +41,8 @@
     "submission": decode_submission,
     "job": decode_job,
     "progress": decode_progress,
+    "unit": decode_unit,
+    "fragments": lambda data: read_fragment_list(FRAGMENT_MARK + data),
     "peer": decode_peer,
     "page": lambda data: decode_page(data, 0),
 }
@@ -72,6 +86,60 @@
     assert ledger == Ledger()
 
 
+@pytest.mark.parametrize("count", [-1, 1, 10**12])
+def test_list_of_missing_fragments_leaves_the_unit_as_it_is(count: int) -> None:
+    """Guards against a list that replaces a unit, or uses up the memory."""
+    ledger = Ledger()
+    key = UNIT_PREFIX + "00000000000000a1.0.0.0"
+    value = FRAGMENT_MARK + encode_record(FragmentList("1.1", count))
+    assert apply_record(ledger, key, value).kind is ChangeKind.MALFORMED
+    assert not ledger.parts["00000000000000a1"].units
+
+
+SETTINGS: dict[str, Any] = {
+    "node_name": "vm0",
+    "ip_address": "127.0.0.1",
+    "zone": "gent",
+    "listen_addresses": {"frontend_addr": "a:1", "readiness_addr": "a:2"},
+    "internal_port_range": [7000, 7015],
+    "bounds": {
+        "hold_max_ms": 10_000,
+        "stop_grace_ms": 400,
+        "gang_wait_ms": 3000,
+        "grace_period_s": 6,
+        "status_s": 120,
+    },
+    "platform": {"address": "a:3", "record_bytes": 1024, "request_bytes": 1028},
+}
+
+
+def test_limits_of_the_store_come_from_the_settings() -> None:
+    """Guards against limits that are constants of the daemon."""
+    limits = decode_settings(encode(SETTINGS)).ok.store.limits
+    assert (limits.record_bytes, limits.append_bytes) == (1024, 1028)
+
+
+@pytest.mark.parametrize(
+    ("fields", "named"),
+    [
+        ({"platform": {**SETTINGS["platform"], "record_bytes": 1023}}, "record_bytes"),
+        (
+            {"platform": {**SETTINGS["platform"], "request_bytes": 1027}},
+            "request_bytes",
+        ),
+        ({"platform": {"address": "a:3", "request_bytes": 1028}}, "record_bytes"),
+        ({"node_name": "v" * 255}, "node_name"),
+    ],
+)
+def test_settings_with_which_nothing_can_be_recorded_are_refused(
+    fields: dict[str, Any], named: str
+) -> None:
+    """Guards against a daemon whose own records the store never takes."""
+    result = decode_settings(encode({**SETTINGS, **fields}))
+    assert result.is_error()
+    assert named in result.error.message
+
+
 ENTRY: dict[str, Any] = {
     "service": "pool",
     "address": "127.0.0.1:8080",
