Move placement and preemption decisions into the package scheduling

Cause: planner/ holds 25 modules, and nothing there tells decisions from what follows servers and records.

--- a/src/cardamomdyke/planner/claims.py
+++ b/src/cardamomdyke/planner/claims.py
@@ -17,21 +17,6 @@
     make_requirements,
     mark_stopping,
 )
-from cardamomdyke.planner.placement import (
-    PoolCapacity,
-    close_server,
-    fits_all,
-    open_server,
-    take_capacity,
-)
-from cardamomdyke.planner.preemption import (
-    Preemption,
-    Requester,
-    Victim,
-    VictimIndex,
-    find_preemption,
-    is_within_limit,
-)
 from cardamomdyke.planner.quotas import (
     check_allowance,
     measure_expected_allowance,
@@ -46,6 +31,21 @@
     list_indices,
     list_unfinished_steps,
 )
+from cardamomdyke.scheduling.placement import (
+    PoolCapacity,
+    close_server,
+    fits_all,
+    open_server,
+    take_capacity,
+)
+from cardamomdyke.scheduling.preemption import (
+    Preemption,
+    Requester,
+    Victim,
+    VictimIndex,
+    find_preemption,
+    is_within_limit,
+)
 
 
 def hold_reservations(draft: Draft, job: Job) -> None:
--- a/src/cardamomdyke/planner/drafts.py
+++ b/src/cardamomdyke/planner/drafts.py
@@ -5,22 +5,17 @@
 from cardamomdyke.model.orders import Shape, StepOrder
 from cardamomdyke.planner.headroom import Headroom, make_headroom
 from cardamomdyke.planner.inputs import UnitKey
-from cardamomdyke.planner.placement import (
+from cardamomdyke.planner.placement import make_pool_capacity, make_suspended_capacity
+from cardamomdyke.planner.preemption import make_victim_index
+from cardamomdyke.planner.quotas import Allowance
+from cardamomdyke.planner.state import PlannerState, list_holders
+from cardamomdyke.scheduling.placement import (
     PoolCapacity,
     ServerCapacity,
     copy_capacity,
-    make_pool_capacity,
-    make_suspended_capacity,
     take_capacity,
 )
-from cardamomdyke.planner.preemption import (
-    Requester,
-    Victim,
-    VictimIndex,
-    make_victim_index,
-)
-from cardamomdyke.planner.quotas import Allowance
-from cardamomdyke.planner.state import PlannerState, list_holders
+from cardamomdyke.scheduling.preemption import Requester, Victim, VictimIndex
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cardamomdyke/planner/headroom.py
+++ b/src/cardamomdyke/planner/headroom.py
@@ -11,8 +11,8 @@
 from cardamomdyke.jobs.records import GANG_INDEX
 from cardamomdyke.model.orders import Shape
 from cardamomdyke.planner.inputs import UrgentArrival
-from cardamomdyke.planner.placement import PoolCapacity
 from cardamomdyke.planner.state import Job, PlannerState, Unit, list_indices
+from cardamomdyke.scheduling.placement import PoolCapacity
 
 # Period over which the demand of urgent jobs is averaged.
 DEMAND_PERIOD_SECONDS = 3.0
--- a/src/cardamomdyke/planner/isolation.py
+++ b/src/cardamomdyke/planner/isolation.py
@@ -9,10 +9,6 @@
 
 from cardamomdyke.planner.crashes import outlived_start
 from cardamomdyke.planner.drafts import Draft, find_capacity_with_suspended
-from cardamomdyke.planner.placement import (
-    PoolCapacity,
-    choose_servers,
-)
 from cardamomdyke.planner.seeking import (
     count_placed,
     filter_data_rack,
@@ -27,6 +23,7 @@
     list_holders,
     list_indices,
 )
+from cardamomdyke.scheduling.placement import PoolCapacity, choose_servers
 
 # A suspect unit waits this long for a server that nothing has to be kept from. The
 # platform counts a job as lost that waits 3 s while its pool has capacity.
--- a/src/cardamomdyke/planner/pending.py
+++ b/src/cardamomdyke/planner/pending.py
@@ -4,7 +4,6 @@
 from enum import StrEnum
 
 from cardamomdyke.planner.drafts import Draft, find_pool_capacity
-from cardamomdyke.planner.placement import count_fits
 from cardamomdyke.planner.state import (
     Job,
     MemberPhase,
@@ -12,6 +11,7 @@
     Unit,
     list_indices,
 )
+from cardamomdyke.scheduling.placement import count_fits
 
 # The platform counts work as lost that waits 3 s while its pool has capacity.
 REPORT_AFTER_SECONDS = 2.5
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -36,7 +36,6 @@
 )
 from cardamomdyke.planner.occurrences import update_occurrences
 from cardamomdyke.planner.pending import PendingReason, begin_report, report_pending
-from cardamomdyke.planner.placement import PoolCapacity, fits_all, take_capacity
 from cardamomdyke.planner.quotas import (
     check_allowance,
     measure_allowances,
@@ -53,6 +52,7 @@
     list_indices,
     list_unfinished_steps,
 )
+from cardamomdyke.scheduling.placement import PoolCapacity, fits_all, take_capacity
 
 # A job that could not be planned because of an unexpected error is tried again after
 # this time. The platform counts it as lost after 3 s.
--- a/src/cardamomdyke/planner/relaxation.py
+++ b/src/cardamomdyke/planner/relaxation.py
@@ -10,9 +10,10 @@
 from dataclasses import dataclass
 
 from cardamomdyke.planner.drafts import Draft, make_requirements
-from cardamomdyke.planner.placement import count_fits, is_in_service
+from cardamomdyke.planner.placement import is_in_service
 from cardamomdyke.planner.polls import measure_free_capacity
 from cardamomdyke.planner.state import Job, PlannerState, Unit, list_indices
+from cardamomdyke.scheduling.placement import count_fits
 
 # Attributes of a shape.
 RESOURCES = ("millicores", "memory_mb", "accelerators")
--- a/src/cardamomdyke/planner/seeking.py
+++ b/src/cardamomdyke/planner/seeking.py
@@ -9,9 +9,9 @@
     find_capacity_with_suspended,
     make_requirements,
 )
-from cardamomdyke.planner.placement import PoolCapacity, choose_servers
 from cardamomdyke.planner.relaxation import ONE_RACK, SOUND_SERVERS, may_relax
 from cardamomdyke.planner.state import Job, Unit, list_indices
+from cardamomdyke.scheduling.placement import PoolCapacity, choose_servers
 
 # The platform counts a task as lost that waits 3 s while its pool has capacity.
 MAX_RACK_WAIT_SECONDS = 2.0
--- a/tests/planner/test_crashes.py
+++ b/tests/planner/test_crashes.py
@@ -14,7 +14,7 @@
     decode_progress,
 )
 from cardamomdyke.model.orders import Shape, StepOrder
-from cardamomdyke.planner.placement import (
+from cardamomdyke.scheduling.placement import (
     ServerCapacity,
     close_server,
     count_fits,
--- a/tests/planner/test_faulty_jobs.py
+++ b/tests/planner/test_faulty_jobs.py
@@ -6,8 +6,8 @@
 from cardamomdyke.model.orders import Shape, StepOrder
 from cardamomdyke.planner import planning
 from cardamomdyke.planner.drafts import Draft
-from cardamomdyke.planner.placement import PoolCapacity
 from cardamomdyke.planner.state import Job, Unit
+from cardamomdyke.scheduling.placement import PoolCapacity
 from cardamomdyke_standins.platform_server import StepPlan
 from tests.planner.world import World
 
--- a/tests/planner/test_headroom.py
+++ b/tests/planner/test_headroom.py
@@ -13,10 +13,10 @@
     make_headroom,
 )
 from cardamomdyke.planner.inputs import Limits
-from cardamomdyke.planner.placement import PoolCapacity
 from cardamomdyke.planner.progress import add_job
 from cardamomdyke.planner.relaxation import HEADROOM
 from cardamomdyke.planner.state import Job, PlannerState, Unit, make_units
+from cardamomdyke.scheduling.placement import PoolCapacity
 from cardamomdyke_standins.platform_server import StepPlan
 from tests.planner.world import POOL, World
 
--- a/tests/planner/test_review_waits.py
+++ b/tests/planner/test_review_waits.py
@@ -8,10 +8,10 @@
 from cardamomdyke.model.orders import TaskId
 from cardamomdyke.model.queues import Account
 from cardamomdyke.planner import drafts, seeking
-from cardamomdyke.planner.placement import PoolCapacity
 from cardamomdyke.planner.planning import plan_starts
 from cardamomdyke.planner.state import PlannerState
 from cardamomdyke.planner.suspicion import MAX_SUSPENSION_SECONDS
+from cardamomdyke.scheduling.placement import PoolCapacity
 from cardamomdyke_standins.platform_server import MAX_LEASE_SECONDS, StepPlan
 from tests.planner.test_planner import JOB, OTHER, make_step
 from tests.planner.test_waits import (
--- a/tests/planner/test_waits.py
+++ b/tests/planner/test_waits.py
@@ -9,10 +9,10 @@
 from cardamomdyke.planner import isolation, planning
 from cardamomdyke.planner.drafts import Draft
 from cardamomdyke.planner.leases import EXPIRY_MARGIN_SECONDS, MIN_CLOCK_RATE
-from cardamomdyke.planner.placement import PoolCapacity
 from cardamomdyke.planner.polls import add_unknown_run
 from cardamomdyke.planner.state import Job, Unit
 from cardamomdyke.planner.suspicion import MAX_SUSPENSION_SECONDS
+from cardamomdyke.scheduling.placement import PoolCapacity
 from cardamomdyke_standins.platform_server import MAX_LEASE_SECONDS, StepPlan
 from tests.planner.crash_world import CrashWorld
 from tests.planner.test_planner import JOB, OTHER, SERVER, make_step
--- a/tests/planner/waiting.py
+++ b/tests/planner/waiting.py
@@ -5,7 +5,7 @@
 
 from cardamomdyke.jobs.records import FINAL_PHASES, JobRecord
 from cardamomdyke.model.orders import Shape, StepOrder, TaskId
-from cardamomdyke.planner.placement import count_fits
+from cardamomdyke.scheduling.placement import count_fits
 from tests.planner.crash_world import CrashWorld
 
 # The platform counts work as lost that waits for longer while its pool has room for it
