Prefer servers of usual speed for urgent work and work with little slack

Cause: on a deployment with slow servers an urgent gang loses a third to a half of its slack on one of them. Change: the planner observes ends of runs whose whole duration it has seen, keeps the books in its state, and passes the slowness of servers to placement and preemption, where it decides the order and never whether work fits.

--- a/src/cardamomdyke/control/app.py
+++ b/src/cardamomdyke/control/app.py
@@ -220,6 +220,7 @@
             jobs_waiting,
             len(context.ledger.jobs),
             0 if tables is None else tables.version,
+            context.slow_servers if leadership.term else 0,
         )
 
     if not port:
--- a/src/cardamomdyke/control/context.py
+++ b/src/cardamomdyke/control/context.py
@@ -181,6 +181,8 @@
         Servers that planners have recorded as silent.
     heartbeat_fence : int
         Fencing token in the newest heartbeat of a planner; 0 before the first.
+    slow_servers : int
+        Servers that this daemon's current or last term found slow.
     peers : dict of str to Peer
         Daemons that have announced themselves, by VM.
     ledger_changed : asyncio.Event
@@ -205,6 +207,7 @@
     appender: Appender
     silences: SilenceLedger = field(default_factory=SilenceLedger)
     heartbeat_fence: int = 0
+    slow_servers: int = 0
     peers: dict[str, Peer] = field(default_factory=dict)
     ledger_changed: asyncio.Event = field(default_factory=asyncio.Event)
     unix_clock: UnixClock = field(default_factory=make_unix_clock)
--- a/src/cardamomdyke/control/driver.py
+++ b/src/cardamomdyke/control/driver.py
@@ -182,6 +182,7 @@
             apply_timeouts(self.state, read_clock())
             expire_starts(self.state, read_clock())
             plan_starts(self.state, read_clock())
+            self.context.slow_servers = self.state.learning.count_slow()
             self.perform_actions()
             if self.state.superseded:
                 self.leadership.end_term("a backend server knows a later planner")
--- a/src/cardamomdyke/control/metrics.py
+++ b/src/cardamomdyke/control/metrics.py
@@ -36,6 +36,8 @@
         Jobs in the ledger.
     tables_version : int
         Version of the configuration in force; 0 for none.
+    slow_servers : int
+        Backend servers that the planner found slow; 0 while another daemon plans.
     """
 
     term: int
@@ -43,6 +45,7 @@
     jobs_waiting: int
     jobs_known: int
     tables_version: int
+    slow_servers: int
 
 
 @dataclass
@@ -132,6 +135,11 @@
             ("jobs_waiting", "Jobs without a task begun.", gauges.jobs_waiting),
             ("jobs_known", "Jobs in the store.", gauges.jobs_known),
             ("tables_version", "Configuration in force.", gauges.tables_version),
+            (
+                "slow_servers",
+                "Servers that the planner found slow.",
+                gauges.slow_servers,
+            ),
         ):
             yield GaugeMetricFamily(f"cardamomdyke_{name}", text, value=value)
 
--- /dev/null
+++ b/src/cardamomdyke/planner/learning.py
@@ -0,0 +1,40 @@
+"""What a planner has learned of run times and of the speeds of servers."""
+
+from dataclasses import dataclass, field
+
+from cardamomdyke.scheduling.runtimes import RuntimeBook
+from cardamomdyke.scheduling.speeds import SpeedBook
+
+
+@dataclass(slots=True)
+class Learning:
+    """Books of one term; a planner starts with empty ones.
+
+    Attributes
+    ----------
+    runtimes : RuntimeBook
+        Errors of declared run times, by queue.
+    speeds : dict of str to SpeedBook
+        Speeds of the servers, by pool.
+    """
+
+    runtimes: RuntimeBook = field(default_factory=RuntimeBook)
+    speeds: dict[str, SpeedBook] = field(default_factory=dict)
+
+    def find_slowness(self, pool: str, server: str) -> float:
+        """Return the slowness of a pool's server; 1.0 for an unknown or usual one."""
+        book = self.speeds.get(pool)
+        return 1.0 if book is None else book.find_slowness(server)
+
+    def count_slow(self) -> int:
+        """Return the number of slow servers of all pools."""
+        return sum(book.count_slow() for book in self.speeds.values())
+
+    def forget_server(self, pool: str, server: str) -> None:
+        """Forget a server that is gone or was replaced."""
+        book = self.speeds.get(pool)
+        if book is None:
+            return
+        book.forget(server)
+        if not book.servers:
+            del self.speeds[pool]
--- a/src/cardamomdyke/planner/placement.py
+++ b/src/cardamomdyke/planner/placement.py
@@ -42,6 +42,7 @@
                 free.memory_mb,
                 free.accelerators,
                 server.suspect_until > now,
+                state.learning.find_slowness(pool, name),
             )
     return pool_capacity
 
--- a/src/cardamomdyke/planner/polls.py
+++ b/src/cardamomdyke/planner/polls.py
@@ -32,6 +32,7 @@
     ClockReading,
     estimate_clock,
 )
+from cardamomdyke.planner.observations import forget_server, observe_end
 from cardamomdyke.planner.state import (
     Job,
     Member,
@@ -55,6 +56,8 @@
 # Long poll of a server with runs. Each poll renews the lease, so when contact is lost
 # the lease is shorter than the limit by up to this time.
 POLL_WAIT_SECONDS = 1.0
+# An end is reported within this time of the answer before, unless a poll was lost.
+MAX_END_DELAY_SECONDS = POLL_WAIT_SECONDS + 0.5
 # Lease of a draining server, which may disappear at any moment. Its tasks start
 # on other servers once the lease has expired; several polls fit into it.
 DRAINING_LEASE_SECONDS = 2.0
@@ -93,6 +96,7 @@
             server.inherited_until = find_earlier_expiry(state, name)
         elif entry.draining and not server.entry.draining:
             state.note("server.draining", name, remaining=entry.remaining_seconds)
+        forget_server(state, server.entry, entry)
         server.entry = entry
         server.listed = True
     for name, server in list(state.servers.items()):
@@ -102,6 +106,7 @@
             server.listed = False
             state.note("server.unlisted", name, holders=len(server.holders))
         if not is_in_use(state, name):
+            forget_server(state, server.entry)
             del state.servers[name]
     resolve_lapsed_runs(state, listed, now)
 
@@ -192,6 +197,7 @@
         return
     if server.failing_since:
         state.note("server.regained", name, silent=round(now - server.failing_since, 3))
+    in_time = now - server.last_contact_at <= MAX_END_DELAY_SECONDS
     server.failing_since = 0.0
     server.last_contact_at = now
     if server.reading is None or lists.instance != server.instance:
@@ -204,7 +210,7 @@
         server.confirmed_end = max(server.confirmed_end, order.acknowledged)
     for end in sorted(lists.ended, key=lambda item: item.number):
         if end.number > server.processed_end:
-            handle_run_end(state, server, end, now)
+            handle_run_end(state, server, end, now, in_time)
             server.processed_end = end.number
             hold_end(state, server, end.task.job_id)
     present = set()
@@ -304,9 +310,12 @@
 
 
 def handle_run_end(
-    state: PlannerState, server: Server, end: EndReport, now: float
+    state: PlannerState, server: Server, end: EndReport, now: float, in_time: bool
 ) -> None:
-    """Apply an ended run; runs without an active member are ignored."""
+    """Apply an ended run; runs without an active member are ignored.
+
+    The duration counts only if the end was reported `in_time`.
+    """
     server.unknown_runs.pop((end.task, end.run), None)
     settle_listed_run(state, server.entry.name, end.task, end.run)
     found = find_member(state, server, end.task, end.run)
@@ -319,6 +328,8 @@
         record_failure(state, server, job, unit, now)
     elif end.kind is EndKind.DONE:
         clear_suspicion(server)
+        if in_time:
+            observe_end(state, server, job, unit, member, now)
     mark_begun(state, job)
     end_member(state, job, unit, member, end.kind, now)
 
--- a/src/cardamomdyke/planner/seeking.py
+++ b/src/cardamomdyke/planner/seeking.py
@@ -10,6 +10,7 @@
     make_requirements,
 )
 from cardamomdyke.planner.relaxation import ONE_RACK, SOUND_SERVERS, may_relax
+from cardamomdyke.planner.slack import prefers_usual_servers
 from cardamomdyke.planner.state import Job, Unit, list_indices
 from cardamomdyke.scheduling.placement import PoolCapacity, choose_servers
 
@@ -31,18 +32,26 @@
     count = len(list_indices(step, unit))
     rack_capacity = filter_data_rack(pool_capacity, step)
     waited = draft.now - unit.ready_since if unit.ready_since else 0.0
+    prefers_usual = prefers_usual_servers(draft.state, job, unit, draft.now)
     if rack_capacity.by_name:
-        found = choose_servers(rack_capacity, step, count, placed, unit.avoided_servers)
+        found = choose_servers(
+            rack_capacity, step, count, placed, unit.avoided_servers, prefers_usual
+        )
         max_wait = find_max_rack_wait(step, draft.state.limits.remote_factor)
         if found is not None or waited < max_wait:
             return found
-    found = choose_in_any_rack(draft, pool_capacity, job, unit, placed)
+    found = choose_in_any_rack(draft, pool_capacity, job, unit, placed, prefers_usual)
     if found is not None:
         return found
     spread_step = find_spread_step(draft, job, unit, placed)
     if spread_step is not None:
         found = choose_servers(
-            pool_capacity, spread_step, count, placed, unit.avoided_servers
+            pool_capacity,
+            spread_step,
+            count,
+            placed,
+            unit.avoided_servers,
+            prefers_usual,
         )
     if found is None and may_use_suspended(draft, job, unit, placed):
         return choose_servers(
@@ -51,6 +60,7 @@
             count,
             placed,
             unit.avoided_servers,
+            prefers_usual,
         )
     return found
 
@@ -92,17 +102,22 @@
     job: Job,
     unit: Unit,
     placed: Counter[str],
+    prefers_usual: bool,
 ) -> list[str] | None:
     """Choose servers in any rack, unless as many are known not to fit."""
     step = job.find_step(unit)
     count = len(list_indices(step, unit))
     if step.server_limit:
         # Not cached: the result depends on the other tasks of the step.
-        return choose_servers(pool_capacity, step, count, placed, unit.avoided_servers)
+        return choose_servers(
+            pool_capacity, step, count, placed, unit.avoided_servers, prefers_usual
+        )
     requirements = make_requirements(job.record.pool, step)
     if count >= draft.unplaceable.get(requirements, count + 1):
         return None
-    found = choose_servers(pool_capacity, step, count, placed, unit.avoided_servers)
+    found = choose_servers(
+        pool_capacity, step, count, placed, unit.avoided_servers, prefers_usual
+    )
     if found is None:
         draft.unplaceable[requirements] = count
     return found
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -6,13 +6,12 @@
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from enum import StrEnum
 
 from cardamomdyke.jobs.layout import NOTHING_STORED, StoredProgress
 from cardamomdyke.jobs.records import FINAL_PHASES, GANG_INDEX, JobPhase, JobRecord
 from cardamomdyke.model.orders import Shape, StepOrder, TaskId
 from cardamomdyke.model.queues import QueueTables
-from cardamomdyke.model.servers import EndKind, ServerEntry
+from cardamomdyke.model.servers import ServerEntry
 from cardamomdyke.planner.actions import Action, Note
 from cardamomdyke.planner.inputs import (
     LapsedRun,
@@ -28,83 +27,12 @@
     UnsettledStart,
     UrgentArrival,
 )
+from cardamomdyke.planner.learning import Learning
 from cardamomdyke.planner.leases import ClockReading, find_inherited_expiry
 
-
-class MemberPhase(StrEnum):
-    """Phase of one task of an attempt.
-
-    Attributes
-    ----------
-    PLANNED
-        The attempt is not recorded yet, so no start was sent.
-    STARTING
-        The start may have been sent, and is not confirmed.
-    RUNNING
-        The server has confirmed the run.
-    ENDED
-        The run has ended or never started; its resources are free.
-    """
-
-    PLANNED = "planned"
-    STARTING = "starting"
-    RUNNING = "running"
-    ENDED = "ended"
-
-
-@dataclass(slots=True)
-class Member:
-    """One task of an attempt.
-
-    Attributes
-    ----------
-    index : int
-        Index of the task within its step.
-    server : str
-        Name of the backend server.
-    instance : int
-        Server instance to which the start is addressed.
-    phase : MemberPhase
-        Current phase.
-    inherited : bool
-        True when an earlier planner sent the start.
-    repeat_due : bool
-        True when the start got no answer and is to be repeated.
-    sent_at : float
-        When the start was first sent.
-    last_sent_at : float
-        When this planner last sent the start; 0 for never.
-    missing_at : float
-        When the newest poll was sent whose answer did not list the run; 0 for none.
-    confirmed_at : float
-        When the run was last confirmed.
-    stop_requested : bool
-        True once the run is to be stopped.
-    stop_sent_at : float
-        When the stop was last sent; 0 for never.
-    stop_confirmed_at : float
-        When the server confirmed the stop; 0 for not yet.
-    end : EndKind or None
-        How the run ended; None while it runs, if unknown, or if it never ran.
-    at_work : bool
-        True once a long-running task has finished its start.
-    """
-
-    index: int
-    server: str
-    instance: int
-    phase: MemberPhase = MemberPhase.PLANNED
-    inherited: bool = False
-    repeat_due: bool = False
-    sent_at: float = 0.0
-    last_sent_at: float = 0.0
-    missing_at: float = 0.0
-    confirmed_at: float = 0.0
-    stop_requested: bool = False
-    stop_sent_at: float = 0.0
-    stop_confirmed_at: float = 0.0
-    end: EndKind | None = None
-    at_work: bool = False
+# Other modules import them from here.
+from cardamomdyke.planner.members import Member as Member
+from cardamomdyke.planner.members import MemberPhase as MemberPhase
 
 
 @dataclass(slots=True)
@@ -426,6 +354,8 @@
         server. Outlives the server's entry.
     silences : dict of str to Silence
         Servers that are recorded as silent, by name; they are granted no lease.
+    learning : Learning
+        Run times and server speeds, learned from completions of this term.
     """
 
     limits: Limits
@@ -453,6 +383,7 @@
     )
     unanswered_grants: dict[str, float] = field(default_factory=dict)
     silences: dict[str, Silence] = field(default_factory=dict)
+    learning: Learning = field(default_factory=Learning)
 
     def note(self, kind: str, subject: str, **facts: object) -> None:
         """Add an action that writes a log line."""
--- a/src/cardamomdyke/scheduling/placement.py
+++ b/src/cardamomdyke/scheduling/placement.py
@@ -6,6 +6,9 @@
 
 from cardamomdyke.model.orders import Shape, StepOrder
 
+# Work with time to spare has little of it left on a server this much slower.
+VERY_SLOW = 2.0
+
 
 @dataclass(slots=True)
 class ServerCapacity:
@@ -25,6 +28,8 @@
         Free capacity; 1000 millicores are a processor core.
     suspect : bool
         True if runs failed there recently.
+    slowness : float
+        Run times there, as a multiple of those on a usual server.
     """
 
     name: str
@@ -35,6 +40,7 @@
     memory_mb: int
     accelerators: int
     suspect: bool = False
+    slowness: float = 1.0
 
 
 @dataclass(slots=True)
@@ -105,6 +111,7 @@
         capacity.memory_mb,
         capacity.accelerators,
         capacity.suspect,
+        capacity.slowness,
     )
 
 
@@ -114,6 +121,7 @@
     count: int,
     placed: Mapping[str, int],
     avoided_servers: Iterable[str] = (),
+    prefers_usual: bool = False,
 ) -> list[str] | None:
     """Choose a server for each task, without subtracting the capacity.
 
@@ -129,6 +137,8 @@
         Tasks of the step already on each server.
     avoided_servers : iterable of str
         Servers to use only if the others do not suffice.
+    prefers_usual : bool
+        True if the tasks have no time to spare for a slow server.
 
     Returns
     -------
@@ -136,7 +146,7 @@
         A server name for each task; None if not all fit.
     """
     for groups in list_choices(pool_capacity, step, count, avoided_servers):
-        found = choose_in_groups(groups, step, count, placed)
+        found = choose_in_groups(groups, step, count, placed, prefers_usual)
         if found is not None:
             return found
     return None
@@ -183,15 +193,24 @@
     step: StepOrder,
     count: int,
     placed: Mapping[str, int],
+    prefers_usual: bool,
 ) -> list[str] | None:
-    """Choose servers in one group: the fullest that fits."""
+    """Choose servers in one group: the fullest that fits, by speed first.
+
+    A gang is as slow as the slowest of its servers.
+    """
     best: list[str] | None = None
-    best_free = 0
+    best_rank = (0, 0)
     for group in groups:
-        found = choose_best_fit(group, step, count, placed)
-        free = sum(capacity.accelerators for capacity in group)
-        if found is not None and (best is None or free < best_free):
-            best, best_free = found, free
+        found = choose_best_fit(group, step, count, placed, prefers_usual)
+        if found is None:
+            continue
+        used = set(found)
+        ranks = (rank_speed(item, prefers_usual) for item in group if item.name in used)
+        slowest = max(ranks, default=0)
+        rank = (slowest, sum(capacity.accelerators for capacity in group))
+        if best is None or rank < best_rank:
+            best, best_rank = found, rank
     return best
 
 
@@ -222,11 +241,21 @@
 
 
 def choose_best_fit(
-    group: list[ServerCapacity], step: StepOrder, count: int, placed: Mapping[str, int]
+    group: list[ServerCapacity],
+    step: StepOrder,
+    count: int,
+    placed: Mapping[str, int],
+    prefers_usual: bool,
 ) -> list[str] | None:
-    """Choose servers by best fit: the fewest free accelerators first."""
+    """Choose servers by speed, then by best fit: the fewest free accelerators first.
+
+    For tasks without time to spare the speed comes first, since a slow server takes
+    much of their slack. For others best fit does, since a task on an emptier server
+    breaks up room for gangs; of servers that fit equally well they take the slow one.
+    The order decides only which servers are used, not whether the tasks fit.
+    """
     names: list[str] = []
-    for capacity in sorted(group, key=lambda item: (item.accelerators, item.name)):
+    for capacity in order_servers(group, prefers_usual):
         fits = count_fits(capacity, step.shape)
         if step.server_limit:
             fits = min(fits, step.server_limit - placed.get(capacity.name, 0))
@@ -234,3 +263,29 @@
         if len(names) == count:
             return names
     return None
+
+
+def order_servers(
+    group: list[ServerCapacity], prefers_usual: bool
+) -> list[ServerCapacity]:
+    """Return servers in the order in which tasks use them."""
+    ordered = sorted(group, key=lambda item: (item.accelerators, item.name))
+    if any(capacity.slowness > 1.0 for capacity in group):
+        ordered.sort(
+            key=lambda item: (
+                rank_speed(item, prefers_usual),
+                item.accelerators,
+                item.slowness <= 1.0,
+            )
+        )
+    return ordered
+
+
+def rank_speed(capacity: ServerCapacity, prefers_usual: bool) -> int:
+    """Return which servers come first whatever fits best; the lowest do.
+
+    These are all that are not very slow, or only the usual ones.
+    """
+    if capacity.slowness >= VERY_SLOW:
+        return 2
+    return int(prefers_usual and capacity.slowness > 1.0)
--- a/src/cardamomdyke/scheduling/preemption.py
+++ b/src/cardamomdyke/scheduling/preemption.py
@@ -95,10 +95,13 @@
         A server for each task.
     victims : dict of AttemptKey to Victim
         Attempts to stop.
+    slowness : float
+        Largest slowness of these servers.
     """
 
     names: list[str] = field(default_factory=list)
     victims: dict[AttemptKey, Victim] = field(default_factory=dict)
+    slowness: float = 1.0
 
     @property
     def cost(self) -> float:
@@ -114,14 +117,15 @@
     ----------
     name : str
         Name of the server.
-    rank : tuple of (float, int, str)
-        Cost in core seconds, free accelerators and name; the lowest is chosen.
+    rank : tuple of (float, float, int, str)
+        Cost in core seconds times slowness, slowness, free accelerators and name; the
+        lowest is chosen, so that of about the same cost the usual server is.
     victims : list of Victim
         Attempts to stop.
     """
 
     name: str
-    rank: tuple[float, int, str]
+    rank: tuple[float, float, int, str]
     victims: list[Victim]
 
 
@@ -186,7 +190,9 @@
         make_preemption(group, victim_index, step, count, placed) for group in groups
     ]
     found = [preemption for preemption in preemptions if preemption is not None]
-    return min(found, key=lambda preemption: preemption.cost, default=None)
+    return min(
+        found, key=lambda item: (item.cost * item.slowness, item.slowness), default=None
+    )
 
 
 def make_preemption(
@@ -219,6 +225,7 @@
         take_capacity(copies[best.name], step.shape)
         used[best.name] = used.get(best.name, 0) + 1
         preemption.names.append(best.name)
+        preemption.slowness = max(preemption.slowness, copies[best.name].slowness)
         # Options on other servers stay valid: a victim counts only where it runs.
         changed = {best.name}.union(*(victim.tasks for victim in best.victims))
         if any(victim.limited_step for victim in best.victims):
@@ -242,9 +249,9 @@
     if victims is None:
         return None
     cost = sum(victim.cost for victim in victims)
-    return ServerOption(
-        capacity.name, (cost, capacity.accelerators, capacity.name), victims
-    )
+    slowness = capacity.slowness
+    rank = (cost * slowness, slowness, capacity.accelerators, capacity.name)
+    return ServerOption(capacity.name, rank, victims)
 
 
 def release_victim(copies: dict[str, ServerCapacity], victim: Victim) -> None:
--- a/src/cardamomdyke_standins/platform_server.py
+++ b/src/cardamomdyke_standins/platform_server.py
@@ -173,6 +173,8 @@
         True while every run fails after `FAULTY_RUN_SECONDS` of work.
     refused_up_to : dict of TaskId to int
         Highest run number of each task whose start is refused.
+    slowness : float
+        Run times, as a multiple of the planned ones.
     """
 
     name: str
@@ -193,6 +195,7 @@
     expired_leases: int = 0
     faulty: bool = False
     refused_up_to: dict[TaskId, int] = field(default_factory=dict)
+    slowness: float = 1.0
 
     def read_clock(self, now: float) -> float:
         """Return the server's clock: seconds since its instance started."""
@@ -327,7 +330,7 @@
                     self.end_run(item, EndKind.ALONE, now)
             elif self.faulty and now - item.working_since >= FAULTY_RUN_SECONDS:
                 self.end_run(item, EndKind.FAILED, now)
-            elif item.measure_work(now) >= item.plan.seconds:
+            elif item.measure_work(now) >= item.plan.seconds * self.slowness:
                 failed = item.run <= item.plan.failing_runs
                 kind = EndKind.FAILED if failed else EndKind.DONE
                 self.end_run(item, kind, now)
