Count work that is saved at a stop as kept in the choice of victims

Cause: the cost of a victim was its work since the start or the last checkpoint. A run also saves a checkpoint at a stop, so checkpointing work loses only the time to resume. Such work was spared while other work was thrown away. A stopped member of a gang ends the others, whose ends and reports carry older checkpoints; the last one reported was kept.

Change: the cost is the time to restore (`restore_ms` of the settings) for checkpointing steps, else the unsaved work; the capacity held during the stop counts for both. The stand-in saves a checkpoint at a stop. `unit.preempted` states `lost` and `saves`.

--- a/src/cardamomdyke/control/terms.py
+++ b/src/cardamomdyke/control/terms.py
@@ -66,6 +66,7 @@
             bounds.stop_grace_seconds,
             bounds.remote_factor,
             LONGEST_AUTHORITY_SECONDS,
+            bounds.restore_seconds,
         ),
         fence=fence,
         took_over_at=now,
--- a/src/cardamomdyke/planner/claims.py
+++ b/src/cardamomdyke/planner/claims.py
@@ -210,6 +210,8 @@
         unit=key,
         for_job=job.job_id,
         cost=round(victim.cost, 1),
+        lost=round(victim.lost, 1),
+        saves=victim.saves,
     )
     mark_stopping(draft, victim)
     abort_attempt(
--- a/src/cardamomdyke/planner/inputs.py
+++ b/src/cardamomdyke/planner/inputs.py
@@ -235,6 +235,8 @@
         Run time of a task away from its data, as a multiple of that near it.
     overlap_seconds : float
         Longest time after a takeover for which an earlier planner may renew leases.
+    restore_seconds : float
+        Time that a run takes to resume from a checkpoint.
     """
 
     lease_seconds: float
@@ -242,3 +244,4 @@
     stop_seconds: float
     remote_factor: float = 1.0
     overlap_seconds: float = 0.0
+    restore_seconds: float = 0.0
--- a/src/cardamomdyke/planner/preemption.py
+++ b/src/cardamomdyke/planner/preemption.py
@@ -2,15 +2,9 @@
 
 from cardamomdyke.model.orders import StepOrder
 from cardamomdyke.planner.state import Attempt, Job, MemberPhase, PlannerState, Unit
+from cardamomdyke.scheduling.losses import StopTimes, estimate_loss, measure_size
 from cardamomdyke.scheduling.preemption import Requester, Victim, VictimIndex
 
-# Weight of an accelerator in processor cores, as the platform prices it.
-CORES_PER_ACCELERATOR = 8.0
-
-
-MILLICORES = 1000.0
-
-
 # Exceeds the cost of any other stop, so that long-running tasks are preempted last.
 LONG_RUNNING_COST_CORE_SECONDS = 1e6
 
@@ -39,6 +33,7 @@
         Preemptible attempts, without those that are being stopped.
     """
     victim_index = VictimIndex()
+    times = StopTimes(state.limits.stop_seconds, state.limits.restore_seconds)
     for job in state.jobs.values():
         if job.is_final:
             continue
@@ -47,7 +42,7 @@
             if attempt is None or attempt.reason or unit.done:
                 continue
             if may_preempt(requester, job, job.find_step(unit), attempt):
-                add_victim(victim_index, job, unit, attempt, now)
+                add_victim(victim_index, job, unit, attempt, times, now)
     return victim_index
 
 
@@ -69,9 +64,14 @@
 
 
 def add_victim(
-    victim_index: VictimIndex, job: Job, unit: Unit, attempt: Attempt, now: float
+    victim_index: VictimIndex,
+    job: Job,
+    unit: Unit,
+    attempt: Attempt,
+    times: StopTimes,
+    now: float,
 ) -> None:
-    """Add an attempt; its cost is the work since its start or last checkpoint."""
+    """Add an attempt; its cost is what a stop loses, and the time that it takes."""
     step = job.find_step(unit)
     shape = step.shape
     counts: dict[str, int] = {}
@@ -86,13 +86,19 @@
         if limited_step not in victim_index.allowed_stops:
             allowed = step.absence_limit - count_absent(job, unit)
             victim_index.allowed_stops[limited_step] = allowed
-    size = shape.millicores / MILLICORES + shape.accelerators * CORES_PER_ACCELERATOR
-    lost = max(0.0, now - max(attempt.started_at, attempt.checkpoint_seen_at))
+    loss = estimate_loss(
+        measure_size(shape) * sum(counts.values()),
+        now - max(attempt.started_at, attempt.checkpoint_seen_at),
+        step.checkpointing,
+        times,
+    )
     victim = Victim(
         (job.job_id, unit.key),
-        size * lost * sum(counts.values()) + penalty,
+        loss.cost + penalty,
         {name: (shape, count) for name, count in counts.items()},
         limited_step,
+        loss.lost,
+        step.checkpointing,
     )
     victim_index.victims[victim.key] = victim
     for name in counts:
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -129,6 +129,8 @@
         Why the members are being stopped; empty if they are not.
     working_since : float
         Since when all members are confirmed; 0 before.
+    saved_at_stop : bool
+        True once a stopped member has reported the checkpoint of its stop.
     """
 
     run: int
@@ -139,6 +141,7 @@
     guaranteed: bool = False
     reason: str = ""
     working_since: float = 0.0
+    saved_at_stop: bool = False
 
 
 # Only jobs of this priority are urgent and covered by a client account's guarantee.
--- a/src/cardamomdyke/platform/settings.py
+++ b/src/cardamomdyke/platform/settings.py
@@ -52,6 +52,8 @@
         Time that the state of an ended job stays readable.
     remote_factor : float
         Slow-down of a task away from its data or across racks.
+    restore_seconds : float
+        Time that a run takes to resume from a checkpoint.
     """
 
     lease_limit_seconds: float
@@ -60,6 +62,7 @@
     shutdown_grace_seconds: float
     status_seconds: float
     remote_factor: float
+    restore_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +115,7 @@
     grace_period_s: float
     status_s: float
     remote_factor: float = 1.0
+    restore_ms: float = 0.0
 
 
 class _Store(Struct):
@@ -206,4 +210,5 @@
         shutdown_grace_seconds=wire.grace_period_s,
         status_seconds=wire.status_s,
         remote_factor=wire.remote_factor,
+        restore_seconds=wire.restore_ms / MILLISECONDS,
     )
--- /dev/null
+++ b/src/cardamomdyke/scheduling/losses.py
@@ -0,0 +1,76 @@
+"""What the stop of an attempt loses, and its cost in the choice of victims."""
+
+from dataclasses import dataclass
+
+from cardamomdyke.model.orders import Shape
+
+# Weight of an accelerator in processor cores, as the platform prices it.
+CORES_PER_ACCELERATOR = 8.0
+MILLICORES = 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class StopTimes:
+    """Durations that a stop depends on.
+
+    Attributes
+    ----------
+    stop_seconds : float
+        Maximum time from a stop to the end of the run.
+    restore_seconds : float
+        Time that a run takes to resume from a checkpoint.
+    """
+
+    stop_seconds: float
+    restore_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class StopLoss:
+    """Loss and cost of a stop, in core seconds.
+
+    Attributes
+    ----------
+    lost : float
+        Work that has to be done again.
+    cost : float
+        Loss and the capacity that is held during the stop; decides between victims.
+    """
+
+    lost: float
+    cost: float
+
+
+def measure_size(shape: Shape) -> float:
+    """Return the resources of a task in processor cores."""
+    cores = shape.millicores / MILLICORES
+    return cores + shape.accelerators * CORES_PER_ACCELERATOR
+
+
+def estimate_loss(
+    size: float, unsaved_seconds: float, saves: bool, times: StopTimes
+) -> StopLoss:
+    """Estimate what the stop of an attempt loses.
+
+    Parameters
+    ----------
+    size : float
+        Resources of all tasks of the attempt, in processor cores.
+    unsaved_seconds : float
+        Time since the start or the newest checkpoint.
+    saves : bool
+        True if the tasks save checkpoints. They also do so at a stop, so that the next
+        run repeats no work and loses only the time to resume.
+    times : StopTimes
+        Durations that a stop depends on.
+
+    Returns
+    -------
+    StopLoss
+        Loss and cost. The capacity held during the stop counts too, so that of equal
+        losses the one that frees less capacity is chosen.
+    """
+    lost_seconds = max(0.0, unsaved_seconds)
+    if saves:
+        lost_seconds = min(lost_seconds, times.restore_seconds)
+    return StopLoss(size * lost_seconds, size * (lost_seconds + times.stop_seconds))
--- a/src/cardamomdyke/scheduling/preemption.py
+++ b/src/cardamomdyke/scheduling/preemption.py
@@ -29,17 +29,23 @@
     key : tuple of (str, UnitKey)
         Job id and unit.
     cost : float
-        Work lost by a stop, in core seconds.
+        Cost of a stop in core seconds, by which victims are chosen.
     tasks : dict of str to (Shape, int)
         Shape and number of the attempt's tasks, by server.
     limited_step : StepKey or None
         Step of the attempt if it limits absences.
+    lost : float
+        Work that a stop makes the attempt do again, in core seconds.
+    saves : bool
+        True if the tasks save a checkpoint at the stop.
     """
 
     key: AttemptKey
     cost: float
     tasks: dict[str, tuple[Shape, int]]
     limited_step: StepKey | None = None
+    lost: float = 0.0
+    saves: bool = False
 
     @property
     def task_count(self) -> int:
@@ -102,7 +108,7 @@
 
     @property
     def cost(self) -> float:
-        """Work lost by the stops, in core seconds."""
+        """Cost of the stops, in core seconds."""
         return sum(victim.cost for victim in self.victims.values())
 
 
--- a/src/cardamomdyke_standins/platform_server.py
+++ b/src/cardamomdyke_standins/platform_server.py
@@ -277,15 +277,16 @@
         )
         return running, tuple(self.ended)
 
-    def find_checkpoint(self, item: Run, now: float) -> str:
-        """Return the newest checkpoint of a run; empty without one."""
+    def find_checkpoint(self, item: Run, now: float, at_stop: bool = False) -> str:
+        """Return the newest checkpoint of a run; empty without one.
+
+        One is saved after each period of work and at a stop.
+        """
         if not item.plan.saves:
             return ""
-        saved = (
-            item.measure_work(now)
-            // CHECKPOINT_PERIOD_SECONDS
-            * CHECKPOINT_PERIOD_SECONDS
-        )
+        saved = item.measure_work(now)
+        if not at_stop:
+            saved = saved // CHECKPOINT_PERIOD_SECONDS * CHECKPOINT_PERIOD_SECONDS
         if saved <= 0:
             return ""
         text = f"{item.task.job_id}.{item.task.step}:{saved}"
@@ -293,7 +294,7 @@
 
     def end_run(self, item: Run, kind: EndKind, now: float) -> None:
         """End a run and the other members of its gang."""
-        checkpoint = self.find_checkpoint(item, now)
+        checkpoint = self.find_checkpoint(item, now, kind is EndKind.STOPPED)
         del self.runs[item.task]
         self.refused_up_to[item.task] = max(
             item.run, self.refused_up_to.get(item.task, 0)
--- /dev/null
+++ b/tests/planner/test_victims.py
@@ -0,0 +1,72 @@
+"""Choice of the work that is stopped for urgent jobs."""
+
+from cardamomdyke.model.orders import Shape, StepOrder, TaskId
+from cardamomdyke_standins.platform_server import Run, StepPlan
+from tests.planner.world import World
+
+SERVER = Shape(32_000, 65_536, 8)
+JOB = "00000000000000a1"
+OTHER = "00000000000000b2"
+URGENT = "00000000000000c3"
+
+
+def make_world(servers: int) -> World:
+    world = World()
+    for number in range(servers):
+        world.add_server(f"s{number}", SERVER)
+    world.take_over()
+    world.run_for(1.0)
+    return world
+
+
+def make_step(count: int, accelerators: int, **fields: object) -> StepOrder:
+    return StepOrder(count, Shape(1000, 100, accelerators), 1.0, **fields)
+
+
+def list_runs(world: World, job_id: str) -> list[Run]:
+    return [
+        run
+        for server in world.cluster.servers.values()
+        for run in server.runs.values()
+        if run.task.job_id == job_id
+    ]
+
+
+def count_starts(world: World, job_id: str, index: int = 0) -> int:
+    return len(world.starts[TaskId(job_id, 0, 0, index)])
+
+
+def test_work_that_saves_at_a_stop_is_stopped_first() -> None:
+    """Guards against stops that lose work although others would lose none.
+
+    Work since the last checkpoint counted as lost, but a stopped run saves it.
+    """
+    world = make_world(2)
+    saving = make_step(1, 8, checkpointing=True)
+    world.submit(JOB, [(saving, StepPlan(60.0, saves=True))], priority=1)
+    world.run_for(1.5)
+    world.submit(OTHER, [(make_step(1, 8), StepPlan(60.0))], priority=1)
+    world.run_for(0.4)
+    world.submit(URGENT, [(make_step(1, 8), StepPlan(1.0))], priority=0)
+    world.run_for(4.5)
+    assert count_starts(world, OTHER) == 1
+    (run,) = list_runs(world, JOB)
+    # Its whole work up to the stop, not only up to the last period of 1 s.
+    assert run.saved_work > 1.9
+    (note,) = [note for note in world.notes if note.kind == "unit.preempted"]
+    assert note.facts["saves"] and note.facts["lost"] == 0
+    assert world.violations == []
+
+
+def test_gang_resumes_from_the_checkpoint_of_its_stop() -> None:
+    """Guards against the older checkpoints of members that a stopped one ended."""
+    world = make_world(2)
+    saving = make_step(2, 8, checkpointing=True, gang=True)
+    plan = StepPlan(60.0, 2, True, saves=True)
+    world.submit(JOB, [(saving, plan)], priority=1)
+    world.run_for(1.5)
+    world.submit(URGENT, [(make_step(1, 8), StepPlan(1.0))], priority=0)
+    world.run_for(4.0)
+    assert {run.run for run in list_runs(world, JOB)} == {2}
+    assert min(run.saved_work for run in list_runs(world, JOB)) > 1.5
+    assert world.violations == []
