Make a repeated victim cost more than other work

Cause: a run that was stopped starts again later and then has lost least, so it was stopped again while other work cost about as much.

Change: each earlier stop of a unit doubles its cost, up to three times; a single one counts for 20 s. The count is kept in memory and starts at 0 after a takeover. `unit.preempted` states `repeats`.

The new test of tests/planner/test_victims.py fails on the code before.

--- a/src/cardamomdyke/planner/claims.py
+++ b/src/cardamomdyke/planner/claims.py
@@ -212,11 +212,13 @@
         cost=round(victim.cost, 1),
         lost=round(victim.lost, 1),
         saves=victim.saves,
+        repeats=victim.repeats,
     )
     mark_stopping(draft, victim)
-    abort_attempt(
-        state, other, other.units[key], f"preempted by {job.job_id}", draft.now
-    )
+    unit = other.units[key]
+    unit.preemptions += 1
+    unit.preempted_at = draft.now
+    abort_attempt(state, other, unit, f"preempted by {job.job_id}", draft.now)
 
 
 def reclaim_allowance(draft: Draft, requester: Requester, job: Job, unit: Unit) -> bool:
--- a/src/cardamomdyke/planner/preemption.py
+++ b/src/cardamomdyke/planner/preemption.py
@@ -2,7 +2,12 @@
 
 from cardamomdyke.model.orders import StepOrder
 from cardamomdyke.planner.state import Attempt, Job, MemberPhase, PlannerState, Unit
-from cardamomdyke.scheduling.losses import StopTimes, estimate_loss, measure_size
+from cardamomdyke.scheduling.losses import (
+    StopTimes,
+    count_repeats,
+    estimate_loss,
+    measure_size,
+)
 from cardamomdyke.scheduling.preemption import Requester, Victim, VictimIndex
 
 # Exceeds the cost of any other stop, so that long-running tasks are preempted last.
@@ -86,11 +91,13 @@
         if limited_step not in victim_index.allowed_stops:
             allowed = step.absence_limit - count_absent(job, unit)
             victim_index.allowed_stops[limited_step] = allowed
+    repeats = count_repeats(unit.preemptions, now - unit.preempted_at)
     loss = estimate_loss(
         measure_size(shape) * sum(counts.values()),
         now - max(attempt.started_at, attempt.checkpoint_seen_at),
         step.checkpointing,
         times,
+        repeats,
     )
     victim = Victim(
         (job.job_id, unit.key),
@@ -99,6 +106,7 @@
         limited_step,
         loss.lost,
         step.checkpointing,
+        repeats,
     )
     victim_index.victims[victim.key] = victim
     for name in counts:
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -196,6 +196,10 @@
     silent_starts : set of (int, int)
         The same of starts after which the server fell silent, until it is known
         whether it crashed.
+    preemptions : int
+        Number of its runs that this planner has stopped for other work.
+    preempted_at : float
+        When the last of them was stopped; 0 for never.
     """
 
     key: UnitKey
@@ -217,6 +221,8 @@
     possible_crashes: set[tuple[int, int]] = field(default_factory=set)
     later_crashes: set[tuple[int, int]] = field(default_factory=set)
     silent_starts: set[tuple[int, int]] = field(default_factory=set)
+    preemptions: int = 0
+    preempted_at: float = 0.0
 
 
 @dataclass(slots=True)
--- a/src/cardamomdyke/scheduling/losses.py
+++ b/src/cardamomdyke/scheduling/losses.py
@@ -7,6 +7,13 @@
 # Weight of an accelerator in processor cores, as the platform prices it.
 CORES_PER_ACCELERATOR = 8.0
 MILLICORES = 1000.0
+# A stopped attempt is a repeated victim for this long, about two runs of a batch gang.
+RECENT_STOP_SECONDS = 20.0
+# Each earlier stop multiplies the cost, so that work of up to this many times the loss
+# is stopped instead.
+REPEAT_COST_FACTOR = 2.0
+# Further stops count no more, so that no attempt becomes exempt.
+MAX_REPEATS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +41,8 @@
     lost : float
         Work that has to be done again.
     cost : float
-        Loss and the capacity that is held during the stop; decides between victims.
+        Loss and the capacity that is held during the stop, multiplied for repeated
+        victims; decides between victims.
     """
 
     lost: float
@@ -47,8 +55,28 @@
     return cores + shape.accelerators * CORES_PER_ACCELERATOR
 
 
+def count_repeats(stops: int, seconds_since_stop: float) -> int:
+    """Return how many earlier stops of a unit count in the cost of the next one.
+
+    Parameters
+    ----------
+    stops : int
+        Number of its runs that were stopped for other work.
+    seconds_since_stop : float
+        Time since the last of them.
+
+    Returns
+    -------
+    int
+        All stops if there were several or the last is recent, else 0.
+    """
+    if stops < 2 and seconds_since_stop > RECENT_STOP_SECONDS:
+        return 0
+    return min(stops, MAX_REPEATS)
+
+
 def estimate_loss(
-    size: float, unsaved_seconds: float, saves: bool, times: StopTimes
+    size: float, unsaved_seconds: float, saves: bool, times: StopTimes, repeats: int = 0
 ) -> StopLoss:
     """Estimate what the stop of an attempt loses.
 
@@ -63,6 +91,8 @@
         run repeats no work and loses only the time to resume.
     times : StopTimes
         Durations that a stop depends on.
+    repeats : int
+        Number of earlier stops that count.
 
     Returns
     -------
@@ -73,4 +103,5 @@
     lost_seconds = max(0.0, unsaved_seconds)
     if saves:
         lost_seconds = min(lost_seconds, times.restore_seconds)
-    return StopLoss(size * lost_seconds, size * (lost_seconds + times.stop_seconds))
+    cost_seconds = (lost_seconds + times.stop_seconds) * REPEAT_COST_FACTOR**repeats
+    return StopLoss(size * lost_seconds, size * cost_seconds)
--- a/src/cardamomdyke/scheduling/preemption.py
+++ b/src/cardamomdyke/scheduling/preemption.py
@@ -38,6 +38,8 @@
         Work that a stop makes the attempt do again, in core seconds.
     saves : bool
         True if the tasks save a checkpoint at the stop.
+    repeats : int
+        Number of earlier stops of the unit that count in the cost.
     """
 
     key: AttemptKey
@@ -46,6 +48,7 @@
     limited_step: StepKey | None = None
     lost: float = 0.0
     saves: bool = False
+    repeats: int = 0
 
     @property
     def task_count(self) -> int:
--- a/tests/planner/test_victims.py
+++ b/tests/planner/test_victims.py
@@ -70,3 +70,22 @@
     assert {run.run for run in list_runs(world, JOB)} == {2}
     assert min(run.saved_work for run in list_runs(world, JOB)) > 1.5
     assert world.violations == []
+
+
+def test_work_is_not_stopped_twice_in_a_row() -> None:
+    """Guards against a job that starves, since its new run always loses least."""
+    world = make_world(2)
+    step = make_step(1, 8)
+    world.submit(OTHER, [(step, StepPlan(60.0))], priority=1)
+    world.run_for(0.3)
+    world.submit(JOB, [(step, StepPlan(60.0))], priority=1)
+    world.run_for(0.5)
+    world.submit(URGENT, [(step, StepPlan(1.0))], priority=0)
+    while count_starts(world, JOB) < 2:
+        world.run_for(0.1)
+    # Its loss is now over half of that of the work that was never stopped.
+    world.run_for(6.0)
+    world.submit("00000000000000d4", [(step, StepPlan(1.0))], priority=0)
+    world.run_for(1.5)
+    assert list_runs(world, JOB) and not list_runs(world, OTHER)
+    assert world.violations == []
