--- a/src/cardamomdyke/planner/polls.py
+++ b/src/cardamomdyke/planner/polls.py
@@ -33,6 +33,7 @@
     estimate_clock,
 )
 from cardamomdyke.planner.observations import forget_server, observe_end
+from cardamomdyke.planner.reports import keep_checkpoint, keep_report
 from cardamomdyke.planner.state import (
     Job,
     Member,
@@ -323,7 +324,7 @@
         return
     job, unit, member = found
     if end.checkpoint:
-        unit.checkpoint = end.checkpoint
+        keep_checkpoint(unit, end)
     if end.kind is EndKind.FAILED:
         record_failure(state, server, job, unit, now)
     elif end.kind is EndKind.DONE:
@@ -351,10 +352,7 @@
         add_unknown_run(state, server, report)
         return
     job, unit, member = found
-    if report.checkpoint and report.checkpoint != unit.checkpoint:
-        unit.checkpoint = report.checkpoint
-        if unit.attempt is not None:
-            unit.attempt.checkpoint_seen_at = now
+    keep_report(unit, report, now)
     member.at_work = report.percent >= AT_WORK_PERCENT
     confirm_member(state, job, unit, member, server, now)
 
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -33,6 +33,7 @@
 # Other modules import them from here.
 from cardamomdyke.planner.members import Member as Member
 from cardamomdyke.planner.members import MemberPhase as MemberPhase
+from cardamomdyke.scheduling.endings import RunProgress
 
 
 @dataclass(slots=True)
@@ -57,6 +58,12 @@
         Why the members are being stopped; empty if they are not.
     working_since : float
         Since when all members are confirmed; 0 before.
+    saved_at_stop : bool
+        True once a stopped member has reported the checkpoint of its stop.
+    progress : RunProgress or None
+        Progress that servers have reported; None before the first report.
+    awaited_since : float
+        Since when its end is waited for in place of a stop; 0 for not.
     """
 
     run: int
@@ -67,6 +74,9 @@
     guaranteed: bool = False
     reason: str = ""
     working_since: float = 0.0
+    saved_at_stop: bool = False
+    progress: RunProgress | None = None
+    awaited_since: float = 0.0
 
 
 # Only jobs of this priority are urgent and covered by a client account's guarantee.
@@ -121,6 +131,10 @@
     silent_starts : set of (int, int)
         The same of starts after which the server fell silent, until it is known
         whether it crashed.
+    preemptions : int
+        Number of its runs that this planner has stopped for other work.
+    preempted_at : float
+        When the last of them was stopped; 0 for never.
     """
 
     key: UnitKey
@@ -142,6 +156,8 @@
     possible_crashes: set[tuple[int, int]] = field(default_factory=set)
     later_crashes: set[tuple[int, int]] = field(default_factory=set)
     silent_starts: set[tuple[int, int]] = field(default_factory=set)
+    preemptions: int = 0
+    preempted_at: float = 0.0
 
 
 @dataclass(slots=True)
