Order waiting jobs by what a delay costs their callers

Cause: within a priority and share, jobs were placed in order of arrival, so under overload nearly every job completed late.

Covered jobs keep their order.

--- a/src/cardamomdyke/planner/drafts.py
+++ b/src/cardamomdyke/planner/drafts.py
@@ -9,6 +9,7 @@
 from cardamomdyke.planner.preemption import make_victim_index
 from cardamomdyke.planner.quotas import Allowance
 from cardamomdyke.planner.state import PlannerState, list_holders
+from cardamomdyke.scheduling.ordering import Rank
 from cardamomdyke.scheduling.placement import (
     PoolCapacity,
     ServerCapacity,
@@ -59,6 +60,8 @@
         Headroom by pool; None for a pool without servers.
     guaranteed : frozenset of str
         Ids of jobs covered by client accounts' guarantees.
+    ranks : dict of str to Rank
+        Ranks of the jobs, by id.
     allowances : dict of str to Allowance
         Unused quotas by client account; accounts without a quota are left out.
     unplaceable : dict of Requirements to int
@@ -88,6 +91,7 @@
     capacities: dict[str, PoolCapacity] = field(default_factory=dict)
     headrooms: dict[str, Headroom | None] = field(default_factory=dict)
     guaranteed: frozenset[str] = frozenset()
+    ranks: dict[str, Rank] = field(default_factory=dict)
     allowances: dict[str, Allowance] = field(default_factory=dict)
     unplaceable: dict[Requirements, int] = field(default_factory=dict)
     unreclaimable: dict[tuple[Requester, Requirements], int] = field(
--- a/src/cardamomdyke/planner/inputs.py
+++ b/src/cardamomdyke/planner/inputs.py
@@ -7,6 +7,7 @@
 
 from cardamomdyke.jobs.layout import Entry, StoredProgress
 from cardamomdyke.model.orders import StepOrder, TaskId
+from cardamomdyke.scheduling.objectives import StepWork
 
 # Occurrence, step, and index of the task or `GANG_INDEX`.
 UnitKey = tuple[int, int, int]
@@ -101,6 +102,37 @@
     stopped_instance: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Outline:
+    """What the ranking needs of a job and changes only with its progress.
+
+    Attributes
+    ----------
+    version : tuple of int
+        Revision, next occurrence and number of units of the job.
+    occurrence : int
+        First occurrence that is open and not done; -1 for none.
+    waiting_since : float
+        From when on the caller waits for it, in steady-clock seconds.
+    steps : tuple of StepWork
+        What is left of each step, over all open occurrences.
+    running_cores : float
+        Processor cores of the tasks that run; an accelerator counts as 8.
+    is_ready : bool
+        True if a task waits only for resources.
+    long_running : bool
+        True if a step runs until the job is cancelled.
+    """
+
+    version: tuple[int, int, int]
+    occurrence: int
+    waiting_since: float
+    steps: tuple[StepWork, ...]
+    running_cores: float
+    is_ready: bool
+    long_running: bool
+
+
 @dataclass(frozen=True, slots=True)
 class SetAside:
     """A job that could not be planned because of an unexpected error.
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -35,6 +35,7 @@
     choose_isolated_servers,
 )
 from cardamomdyke.planner.occurrences import update_occurrences
+from cardamomdyke.planner.ordering import rank_jobs
 from cardamomdyke.planner.pending import PendingReason, begin_report, report_pending
 from cardamomdyke.planner.quotas import (
     check_allowance,
@@ -77,8 +78,11 @@
     draft.guaranteed = find_guaranteed(state, waiting)
     draft.allowances = measure_allowances(state)
     mark_guaranteed(waiting, draft.guaranteed)
-    ranked = sorted(waiting, key=rank_job)
-    covered = [job for job in ranked if job.job_id in draft.guaranteed]
+    draft.ranks = rank_jobs(state, waiting, now)
+    ranked = [state.jobs[job_id] for job_id in draft.ranks]
+    covered = sorted(
+        (job for job in waiting if job.job_id in draft.guaranteed), key=rank_covered
+    )
     others = [job for job in ranked if job.job_id not in draft.guaranteed]
     # Guaranteed jobs come first: in the order of arrival, an older job would take the
     # capacity that a guaranteed one has just reclaimed. Capacity reserved for a
@@ -126,8 +130,8 @@
             del state.set_aside[job_id]
 
 
-def rank_job(job: Job) -> tuple[int, bool, float]:
-    """Return the sort key of a job: priority, its account's share, then arrival."""
+def rank_covered(job: Job) -> tuple[int, bool, float]:
+    """Return the sort key of a covered job: its account's share, then arrival."""
     return job.record.priority, job.beyond_share, job.arrived_at
 
 
@@ -373,6 +377,7 @@
     placements = dict(zip(indices, names, strict=True))
     guaranteed = job.job_id in draft.guaranteed
     create_attempt(draft.state, job, unit, placements, draft.now, guaranteed)
+    rank = draft.ranks[job.job_id]
     draft.state.note(
         PLACED_KIND,
         job.job_id,
@@ -381,4 +386,6 @@
         servers=len(set(names)),
         gang=unit.key[2] == GANG_INDEX,
         waited=round(draft.now - job.arrived_at, 3),
+        standing=rank.standing.value,
+        ahead_of=rank.ahead_of,
     )
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -17,6 +17,7 @@
 from cardamomdyke.planner.inputs import (
     LapsedRun,
     Limits,
+    Outline,
     ProgressWrite,
     RefusedProgress,
     RunKey,
@@ -246,6 +247,8 @@
         Revision of the recorded progress.
     stored : StoredProgress
         What the store holds of the progress.
+    outline : Outline or None
+        What the order of a planning pass needs of it; None before the first pass.
     """
 
     record: JobRecord
@@ -260,6 +263,7 @@
     revision: int = 0
     recorded_revision: int = 0
     stored: StoredProgress = NOTHING_STORED
+    outline: Outline | None = None
 
     @property
     def job_id(self) -> str:
