Show and test the order by cost to callers

Cause: an operator could not see why a job went ahead of an older one, and nothing compared the order with others.

Run: tests/scheduling, tests/planner/test_order.py, tests/control/test_journal.py and tests/measurements/test_order.py passed; mypy, ruff.

--- a/src/cardamomdyke/control/driver.py
+++ b/src/cardamomdyke/control/driver.py
@@ -245,6 +245,10 @@
             record = self.state.jobs[action.subject].record
             waited = float(str(action.facts["waited"]))
             self.context.metrics.observe_start(record.priority, waited)
+            standing, ahead_of = action.facts["standing"], action.facts["ahead_of"]
+            self.context.metrics.count_start(
+                record.priority, str(standing), str(ahead_of)
+            )
 
     @perform.register
     def _(self, action: SendStart) -> None:
--- a/src/cardamomdyke/control/metrics.py
+++ b/src/cardamomdyke/control/metrics.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from prometheus_client import CollectorRegistry, Histogram, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.metrics_core import Metric
 from prometheus_client.registry import Collector
@@ -59,12 +59,16 @@
         Duration of a call to the store, by path.
     start_wait_seconds : Histogram
         Time from a job's arrival to a unit's placement, by priority.
+    starts : Counter
+        Units placed, by priority, by what decided the job's place, and by whether the
+        job ranked before an older one of its priority.
     """
 
     registry: CollectorRegistry
     request_seconds: Histogram
     store_call_seconds: Histogram
     start_wait_seconds: Histogram
+    starts: Counter
 
     def observe_store_call(self, path: str, seconds: float) -> None:
         """Observe one call to the store."""
@@ -78,6 +82,21 @@
         """Observe one unit that was placed."""
         self.start_wait_seconds.labels(str(priority)).observe(seconds)
 
+    def count_start(self, priority: int, standing: str, ahead_of: str) -> None:
+        """Count one unit that was placed.
+
+        Parameters
+        ----------
+        priority : int
+            Priority of its job.
+        standing : str
+            What decided the job's place.
+        ahead_of : str
+            Older job of its priority that ranked after it; empty for none.
+        """
+        ahead = "yes" if ahead_of else "no"
+        self.starts.labels(str(priority), standing, ahead).inc()
+
 
 # The registry hashes collectors, so they are compared by identity.
 @dataclass(eq=False)
@@ -163,6 +182,12 @@
             buckets=WAIT_BUCKETS,
             registry=registry,
         ),
+        Counter(
+            "cardamomdyke_starts",
+            "Placed units, by what decided the place of their job.",
+            ("priority", "standing", "ahead"),
+            registry=registry,
+        ),
     )
 
 
--- a/src/cardamomdyke_measurements/order.py
+++ b/src/cardamomdyke_measurements/order.py
@@ -196,7 +196,9 @@
 )
 
 
-def draw_jobs(seed: int, load: float) -> list[ListedJob]:
+def draw_jobs(
+    seed: int, load: float, seconds: float = ARRIVAL_SECONDS
+) -> list[ListedJob]:
     """Draw the jobs of one comparison, in order of arrival.
 
     Parameters
@@ -205,6 +207,8 @@
         Seed of the generator.
     load : float
         Mean load, as a multiple of what the pool can do; it swings by `SWING`.
+    seconds : float
+        Time for which jobs arrive.
     """
     random = Random(seed)
     jobs: list[ListedJob] = []
@@ -212,7 +216,7 @@
         usual_work = kind.tasks * kind.run_seconds
         rate = load * SLOTS * kind.load_share / usual_work
         at = random.expovariate(rate * (1.0 + SWING))
-        while at < ARRIVAL_SECONDS:
+        while at < seconds:
             level = 1.0 + SWING * sin(tau * at / SWING_SECONDS)
             if random.random() * (1.0 + SWING) < level:
                 jobs.append(draw_job(random, kind, at, len(jobs)))
@@ -376,6 +380,15 @@
     return report
 
 
+def print_table(title: str, report: dict[str, dict[str, float]]) -> None:
+    """Print a report as a table with a line for each rule."""
+    names = list(next(iter(report.values())))
+    print(f"\n{title}\n\n| rule | " + " | ".join(names) + " |")
+    print("| --- " * (len(names) + 1) + "|")
+    for rule, summary in report.items():
+        print(f"| {rule} | " + " | ".join(f"{x:.3f}" for x in summary.values()) + " |")
+
+
 def main(seeds: int = SEEDS) -> None:
     """Print what each rule gives, as a table for each load.
 
@@ -385,12 +398,7 @@
         Job lists for each load and rule.
     """
     for load in LOADS:
-        report = compare_rules(load, range(seeds))
-        names = list(next(iter(report.values())))
-        print(f"load {load}")
-        print("| rule | " + " | ".join(names) + " |")
-        for rule, summary in report.items():
-            print(f"| {rule} | " + " | ".join(f"{x:.3f}" for x in summary.values()))
+        print_table(f"Load {load}", compare_rules(load, range(seeds)))
 
 
 if __name__ == "__main__":
--- a/tests/control/test_journal.py
+++ b/tests/control/test_journal.py
@@ -73,6 +73,7 @@
     metrics.observe_request("POST", 200, 0.02)
     metrics.observe_store_call("/log-append", 0.3)
     metrics.observe_start(0, 0.4)
+    metrics.count_start(0, "in_time", "a" * 16)
     text = generate_latest(metrics.registry).decode()
     assert 'cardamomdyke_events_total{event="start.confirmed"} 3.0' in text
     assert (
@@ -80,3 +81,5 @@
     ) in text
     assert 'cardamomdyke_store_call_seconds_sum{call="/log-append"} 0.3' in text
     assert 'cardamomdyke_start_wait_seconds_count{priority="0"} 1.0' in text
+    labels = 'ahead="yes",priority="0",standing="in_time"'
+    assert f"cardamomdyke_starts_total{{{labels}}} 1.0" in text
