Publish summaries of pools and refuse jobs that would end too late

Cause: nothing is refused for lack of capacity, and Retry-After is a constant.

Change: with its heartbeat the planner appends a summary of each pool whose expected waits changed, as the record l + pool of the work topic. Entry VMs date it by the last read that reached the end of the topic, and each heartbeat of the same planner confirms it. A submission is refused with 429 before anything is stored, after the newest records have been read, never for an id that may be stored.

--- a/src/cardamomdyke/control/answers.py
+++ b/src/cardamomdyke/control/answers.py
@@ -4,6 +4,7 @@
 
 from cardamomdyke.platform.records import StoreFault, StoreFaultKind
 from cardamomdyke.platform.submissions import encode_refusal
+from cardamomdyke.scheduling.admission import AdmissionReason, AdmissionRefusal
 
 # Retry-After of refusals because of a fault or a missing configuration. Callers give up
 # 3 s after their first try, so a longer pause would cost them their last tries.
@@ -102,6 +103,10 @@
     "the platform's store refuses the record of this request; it was not run",
     "send a smaller request",
 )
+REMEDIES = {
+    AdmissionReason.TOO_LARGE: "submit smaller tasks; larger servers may join later",
+    AdmissionReason.TOO_LATE: "send the request again later, if it is still of use",
+}
 UNREACHED_KINDS = frozenset(
     {NOT_REACHED.kind, NOT_KNOWN.kind, NO_TABLES.kind, OLD_TABLES.kind}
 )
@@ -155,6 +160,17 @@
     return Refusal(code, "internal", detail, "send the same request again")
 
 
+def make_admission_refusal(refusal: AdmissionRefusal) -> Refusal:
+    """Return the answer to a job that is refused before anything is stored."""
+    return Refusal(
+        429,
+        refusal.reason.value,
+        f"{refusal.detail}; the request has not run",
+        REMEDIES[refusal.reason],
+        refusal.retry_after_seconds,
+    )
+
+
 def make_append_refusal(fault: StoreFault) -> Refusal:
     """Return the refusal that says what is certain after a failed append."""
     if fault.kind is StoreFaultKind.FENCED:
--- a/src/cardamomdyke/control/app.py
+++ b/src/cardamomdyke/control/app.py
@@ -12,6 +12,7 @@
 from cardamomdyke.control.clock import read_clock, read_unix_time
 from cardamomdyke.control.context import Context, OperatorState
 from cardamomdyke.control.feeds import TopicFeed
+from cardamomdyke.control.forecasting import apply_summary, confirm_summaries
 from cardamomdyke.control.ingress import (
     MAX_BODY_BYTES,
     make_caller_application,
@@ -41,6 +42,7 @@
     encode_peer,
 )
 from cardamomdyke.planner.silences import SILENCE_PREFIX
+from cardamomdyke.planner.summaries import SUMMARY_PREFIX
 from cardamomdyke.platform.records import KeyedRecord
 from cardamomdyke.platform.settings import NodeSettings
 from cardamomdyke.platform.store import (
@@ -113,6 +115,10 @@
             planner_runner.candidacy.record_heartbeat()
             if record.value.isdigit():
                 context.heartbeat_fence = int(record.value)
+                confirm_summaries(context)
+            return
+        if record.key.startswith(SUMMARY_PREFIX):
+            apply_summary(context, record)
             return
         if record.key.startswith(SILENCE_PREFIX):
             if not context.silences.apply(record.key, record.value, read_clock()):
@@ -126,12 +132,14 @@
         change = apply_record(context.ledger, record.key, record.value)
         if change.detail:
             context.journal.write("record.malformed", record.key, detail=change.detail)
+        context.admission.handle_change(context.ledger, change)
         planner_runner.handle_change(change)
 
     def reset() -> None:
         context.ledger.clear()
         context.silences.silences.clear()
         context.retention.clear()
+        context.admission.clear()
 
     context.work_feed.apply = apply
     context.work_feed.reset = reset
@@ -220,6 +228,7 @@
             jobs_waiting,
             len(context.ledger.jobs),
             0 if tables is None else tables.version,
+            tuple(context.admission.summaries.list_waits(read_clock())),
         )
 
     if not port:
--- a/src/cardamomdyke/control/context.py
+++ b/src/cardamomdyke/control/context.py
@@ -5,6 +5,7 @@
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
+from cardamomdyke.control.admission_view import AdmissionView
 from cardamomdyke.control.appends import Appender
 from cardamomdyke.control.clock import UnixClock, make_unix_clock
 from cardamomdyke.control.feeds import TopicFeed
@@ -179,6 +180,8 @@
         Appends the records of caller requests.
     silences : SilenceLedger
         Servers that planners have recorded as silent.
+    admission : AdmissionView
+        What admissions are decided by.
     heartbeat_fence : int
         Fencing token in the newest heartbeat of a planner; 0 before the first.
     peers : dict of str to Peer
@@ -204,6 +207,7 @@
     metrics: Metrics
     appender: Appender
     silences: SilenceLedger = field(default_factory=SilenceLedger)
+    admission: AdmissionView = field(default_factory=AdmissionView)
     heartbeat_fence: int = 0
     peers: dict[str, Peer] = field(default_factory=dict)
     ledger_changed: asyncio.Event = field(default_factory=asyncio.Event)
--- a/src/cardamomdyke/control/driver.py
+++ b/src/cardamomdyke/control/driver.py
@@ -11,18 +11,12 @@
 
 from cardamomdyke.control.candidacy import HEARTBEAT_PERIOD_SECONDS
 from cardamomdyke.control.clock import read_clock
-from cardamomdyke.control.context import (
-    Context,
-    ServerDirectory,
-)
+from cardamomdyke.control.context import Context, ServerDirectory
+from cardamomdyke.control.forecasting import list_summaries
 from cardamomdyke.control.leadership import Leadership
 from cardamomdyke.control.recorder import Recorder
 from cardamomdyke.control.supervision import log_crash
-from cardamomdyke.jobs.layout import (
-    RECORD_LENGTH_BYTES,
-    RecordLimits,
-    measure_append,
-)
+from cardamomdyke.jobs.layout import RECORD_LENGTH_BYTES, RecordLimits, measure_append
 from cardamomdyke.jobs.ledger import Change, ChangeKind
 from cardamomdyke.jobs.retention import list_keys, list_withdrawal_keys
 from cardamomdyke.membership.peers import HEARTBEAT_KEY, PEER_PREFIX
@@ -31,6 +25,7 @@
 from cardamomdyke.planner.actions import Action, Note, PollOrder, SendStart, SendStop
 from cardamomdyke.planner.attempts import cancel_job
 from cardamomdyke.planner.expiry import apply_timeouts
+from cardamomdyke.planner.forecasts import SummaryPublisher
 from cardamomdyke.planner.looks import (
     LOOK_PERIOD_SECONDS,
     LOOK_TIMEOUT_SECONDS,
@@ -63,11 +58,7 @@
     handle_silences_recorded,
     list_silence_records,
 )
-from cardamomdyke.planner.state import (
-    PlannerState,
-    Server,
-    find_checkpoint,
-)
+from cardamomdyke.planner.state import PlannerState, Server, find_checkpoint
 from cardamomdyke.platform.records import KeyedRecord
 from cardamomdyke.platform.servers import ServerClient, StartOrder
 
@@ -123,6 +114,8 @@
         Servers that are looked at while starts there are unanswered.
     start_calls : dict of StartKey to Task
         Unanswered calls of starts.
+    publisher : SummaryPublisher
+        Makes the summaries for entry VMs.
     """
 
     context: Context
@@ -143,6 +136,7 @@
     order_limits: dict[str, asyncio.Semaphore] = field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     recording: bool = False
+    publisher: SummaryPublisher = field(default_factory=SummaryPublisher)
 
     @property
     def is_current(self) -> bool:
@@ -532,7 +526,7 @@
         return taken
 
     def list_heartbeats(self) -> list[KeyedRecord]:
-        """Return the heartbeat and removals of lost candidates, when due."""
+        """Return the heartbeat, summaries and removals of candidates, when due."""
         now = read_clock()
         if now - self.heartbeat_at < HEARTBEAT_PERIOD_SECONDS:
             return []
@@ -540,7 +534,8 @@
         heartbeat = KeyedRecord(HEARTBEAT_KEY, str(self.state.fence).encode())
         removals = [KeyedRecord(PEER_PREFIX + vm, b"") for vm in self.lost_candidates]
         self.lost_candidates.clear()
-        return [heartbeat, *removals]
+        summaries = list_summaries(self.context, self.publisher, self.state, now)
+        return [heartbeat, *removals, *summaries]
 
     def list_removals(self) -> list[KeyedRecord]:
         """Return records that remove jobs and withdrawals past their retention."""
@@ -575,6 +570,7 @@
                 self.leadership.end_term("a later planner has taken over")
             return
         if OTHER_RECORDS in result.ok:
+            self.publisher.published.clear()
             detail = result.ok[OTHER_RECORDS]
             self.context.journal.write(
                 "record.refused", other_records[0].key, detail=detail
--- a/src/cardamomdyke/control/feeds.py
+++ b/src/cardamomdyke/control/feeds.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import inf
 
 from cardamomdyke.control.clock import read_clock
 from cardamomdyke.control.journal import Journal
@@ -46,6 +47,9 @@
         Offset of the next record; None before the first read.
     at_end : bool
         True when the last page reached the end of the topic.
+    current_since : float
+        Records that were not applied yet were appended after this time, in seconds of
+        `read_clock`; minus infinity during a full read.
     failing_since : float
         When reads began to fail, in seconds of `read_clock`; 0 while they succeed.
     regained_at : float
@@ -64,6 +68,7 @@
     failing_since: float = 0.0
     regained_at: float = 0.0
     at_end: bool = False
+    current_since: float = -inf
     full_read_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     async def follow_forever(self) -> None:
@@ -85,11 +90,13 @@
         """Read a page, or the whole topic at first; False on failure."""
         if self.next_offset is None:
             return await self.read_newest()
-        offset = self.next_offset
+        offset, began_at = self.next_offset, read_clock()
         result = await self.store.read_records(self.topic, offset, wait_seconds)
         if result.is_ok():
             self.record_success()
             self.apply_page(offset, result.ok)
+            if self.at_end:
+                self.current_since = max(self.current_since, began_at)
             return True
         if result.error.kind is StoreFaultKind.TRIMMED:
             self.journal.write("feed.trimmed", self.topic, offset=offset)
@@ -130,6 +137,7 @@
             if self.next_offset != known_offset:
                 # Another call has read them meanwhile.
                 return True
+            began_at = read_clock()
             pages: list[NewestPage] = []
             after = ""
             while True:
@@ -142,6 +150,7 @@
                     break
                 after = result.ok.records[-1].key
             self.record_success()
+            self.current_since = -inf
             self.reset()
             for page in pages:
                 for record in page.records:
@@ -150,6 +159,7 @@
             # are applied again.
             self.next_offset = pages[0].partition_end
             self.at_end = False
+            self.current_since = began_at
             self.notify()
             return True
 
--- a/src/cardamomdyke/control/metrics.py
+++ b/src/cardamomdyke/control/metrics.py
@@ -36,6 +36,8 @@
         Jobs in the ledger.
     tables_version : int
         Version of the configuration in force; 0 for none.
+    expected_waits : tuple of (str, int, float)
+        Pool, priority and longest expected wait in seconds, from summaries in force.
     """
 
     term: int
@@ -43,6 +45,7 @@
     jobs_waiting: int
     jobs_known: int
     tables_version: int
+    expected_waits: tuple[tuple[str, int, float], ...] = ()
 
 
 @dataclass
@@ -134,6 +137,14 @@
             ("tables_version", "Configuration in force.", gauges.tables_version),
         ):
             yield GaugeMetricFamily(f"cardamomdyke_{name}", text, value=value)
+        waits = GaugeMetricFamily(
+            "cardamomdyke_expected_wait_seconds",
+            "Longest expected wait of new work; no series for less than 1 s.",
+            labels=["pool", "priority"],
+        )
+        for pool, priority, seconds in gauges.expected_waits:
+            waits.add_metric([pool, str(priority)], seconds)
+        yield waits
 
 
 def make_metrics(journal: Journal) -> Metrics:
--- a/src/cardamomdyke/control/processor.py
+++ b/src/cardamomdyke/control/processor.py
@@ -7,9 +7,11 @@
 
 from expression import Error, Ok, Result
 
+from cardamomdyke.control.admissions import find_admission_refusal
 from cardamomdyke.control.answers import (
     NO_JOB_KIND,
     NO_TABLES,
+    NOT_KNOWN,
     NOT_REACHED,
     OLD_TABLES,
     CallerAnswer,
@@ -352,11 +354,21 @@
             return self.refuse(record.job_id, make_large_job(size, limit))
         if not check_contact(self.context):
             return self.refuse(record.job_id, NOT_REACHED)
+        refusal = await find_admission_refusal(self.context, record)
+        if refusal is not None:
+            return self.refuse(record.job_id, refusal)
         jobs = self.context.ledger.jobs
+        if record.job_id in jobs:
+            self.context.journal.write("job.repeated", record.job_id)
+            return self.answer_state(record.job_id)
+        uncertain = self.context.admission.uncertain
+        uncertain.add(record.job_id, read_clock())
         append = append_job(self.context, record, withdrawal or FIRST_EPOCH)
         refusal = await await_append(
             self.context, append, lambda: record.job_id in jobs
         )
+        if refusal is None or refusal.code != NOT_KNOWN.code:
+            uncertain.discard(record.job_id)
         if refusal is not None:
             return self.refuse(record.job_id, refusal)
         self.context.journal.write(
--- a/src/cardamomdyke/control/relay.py
+++ b/src/cardamomdyke/control/relay.py
@@ -226,6 +226,9 @@
                 return choose_answer(request, answers)
             answers += await self.serve_once(request)
             answer = choose_answer(request, answers)
+            if request.method == "POST" and answer.code == NOT_KNOWN.code:
+                job_id = request.path[-JOB_ID_LENGTH:]
+                self.context.admission.uncertain.add(job_id, read_clock())
             elapsed_seconds = read_clock() - began_at
             is_last_try = (
                 request.method == "GET"
--- a/src/cardamomdyke/scheduling/admission.py
+++ b/src/cardamomdyke/scheduling/admission.py
@@ -55,6 +55,8 @@
         Number of tasks that start together.
     tasks : int
         Number of tasks of the step.
+    one_rack : bool
+        True if all tasks need the same rack.
     seconds : float
         Time until all tasks have started.
     spread : float
@@ -67,6 +69,7 @@
     shape: Shape
     unit_tasks: int
     tasks: int
+    one_rack: bool
     seconds: float
     spread: float = DECLARED_SPREAD
     runtime_factor: float = DECLARED_SPREAD
@@ -76,6 +79,26 @@
         """Wait that the forecast allows at least."""
         return self.seconds / max(1.0, self.spread)
 
+    def is_exceeded_by(self, step: StepOrder, priority: int) -> bool:
+        """Return whether a new step certainly waits for as long as this work.
+
+        It then has no better priority, and needs no less. A gang that is larger than
+        every rack is spread, so a wait for one rack says nothing about larger gangs.
+        """
+        shape = step.shape
+        if self.one_rack and not (
+            step.rack_sensitive and step.count == self.tasks and shape == self.shape
+        ):
+            return False
+        return (
+            self.priority <= priority
+            and self.shape.millicores <= shape.millicores
+            and self.shape.memory_mb <= shape.memory_mb
+            and self.shape.accelerators <= shape.accelerators
+            and self.unit_tasks <= (step.count if step.gang else 1)
+            and self.tasks <= step.count
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class PoolSummary:
@@ -88,7 +111,7 @@
     made_at : float
         Unix time of the summary, by the planner's clock, in seconds.
     servers : int
-        Number of servers that the pool lists.
+        Number of servers that the pool lists; 0 while the list may lack some.
     largest : Shape
         Largest amount of each resource on any server.
     rack : Shape
@@ -267,21 +290,8 @@
 def find_wait(
     step: StepOrder, priority: int, summary: PoolSummary
 ) -> ExpectedWait | None:
-    """Return the longest known wait of work that a step certainly waits as long as.
-
-    That work has the same priority or a higher one, and needs no more than the step.
-    """
-    unit_tasks = step.count if step.gang else 1
-    matching = [
-        wait
-        for wait in summary.waits
-        if wait.priority <= priority
-        and wait.shape.millicores <= step.shape.millicores
-        and wait.shape.memory_mb <= step.shape.memory_mb
-        and wait.shape.accelerators <= step.shape.accelerators
-        and wait.unit_tasks <= unit_tasks
-        and wait.tasks <= step.count
-    ]
+    """Return the longest known wait that a step certainly has, or None."""
+    matching = [wait for wait in summary.waits if wait.is_exceeded_by(step, priority)]
     return max(matching, key=lambda wait: wait.least_seconds, default=None)
 
 
--- a/tests/control/fakes.py
+++ b/tests/control/fakes.py
@@ -83,6 +83,7 @@
     next_offset: int | None = 0
     failing_since: float = 0.0
     regained_at: float = 0.0
+    current_since: float = float("-inf")
 
     async def catch_up(self) -> bool:
         self.apply_all()
--- a/tests/scheduling/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -27,7 +27,7 @@
 
 
 def make_summary(wait: float, priority: int = 1, tasks: int = 2) -> PoolSummary:
-    item = ExpectedWait(priority, SHAPE, 1, tasks, wait, 1.0, 1.0)
+    item = ExpectedWait(priority, SHAPE, 1, tasks, False, wait, 1.0, 1.0)
     return PoolSummary(1, 0.0, 2, SERVER, SERVER, (item,))
 
 
@@ -92,6 +92,20 @@
     assert decide_admission(REQUEST, make_summary(100.0, priority=2), 0.0) is None
 
 
+def test_wait_for_a_rack_says_nothing_about_larger_gangs() -> None:
+    """Guards against a gang refused for a rack although it is spread over several."""
+    gang = change_step(gang=True, rack_sensitive=True)
+    (wait,) = make_summary(100.0).waits
+    summary = replace(
+        make_summary(0.0), waits=(replace(wait, unit_tasks=2, one_rack=True),)
+    )
+    assert decide_admission(gang, summary, 0.0) is not None
+    larger = change_step(gang=True, rack_sensitive=True, count=3)
+    assert decide_admission(larger, summary, 0.0) is None
+    anywhere = change_step(gang=True)
+    assert decide_admission(anywhere, summary, 0.0) is None
+
+
 def test_margins_are_in_favour_of_the_caller() -> None:
     """Guards against a refusal by a forecast that may be off by a factor."""
     (wait,) = make_summary(16.0).waits
