--- a/src/cardamomdyke/control/admission_view.py
+++ b/src/cardamomdyke/control/admission_view.py
@@ -75,6 +75,8 @@
                 self.forget(account, job_id)
             return
         record = ledger.jobs.get(job_id)
+        if record is not None and change.kind is ChangeKind.ACCEPTED:
+            self.summaries.record_arrival(record)
         if record is None or record.priority != URGENT_PRIORITY:
             return
         if find_phase(ledger, job_id) in FINAL_PHASES:
--- a/src/cardamomdyke/control/admissions.py
+++ b/src/cardamomdyke/control/admissions.py
@@ -87,8 +87,9 @@
         record.target_seconds,
         may_be_stored=record.job_id in view.uncertain,
     )
-    if decide_admission(request, summary, age) is None:
+    arrivals = view.summaries.arrivals.get(record.pool, ())
+    if decide_admission(request, summary, age, arrivals) is None:
         return None
     # Only a refusal depends on the guarantee, for which jobs have to be counted.
     request = replace(request, guaranteed=is_guaranteed(context, record))
-    return decide_admission(request, summary, age)
+    return decide_admission(request, summary, age, arrivals)
--- a/src/cardamomdyke/planner/forecasts.py
+++ b/src/cardamomdyke/planner/forecasts.py
@@ -35,9 +35,9 @@
 MAX_KINDS = 3
 # No objective is so short that a shorter wait would make its job worthless.
 MIN_WAIT_SECONDS = 1.0
-# A wait within this factor of the published one is not published again, so the spread
-# of a published one allows for it.
-CHANGE_FACTOR = 1.25
+# A wait that has changed by less than this factor is not published again. The spread of
+# a published one allows for it, so that nobody is refused by a wait that is over.
+CHANGE_FACTOR = 1.1
 # Bounds the records beside a heartbeat, which one append must take.
 MAX_POOLS = 50
 MAX_ACCOUNTS = 10
@@ -449,14 +449,9 @@
         return True
     for old, new in zip(former.waits, summary.waits, strict=True):
         level = replace(new, seconds=old.seconds, spread=old.spread)
-        ratios = (
-            new.seconds / old.seconds,
-            new.least_seconds / old.least_seconds,
-        )
-        if (
-            level != old
-            or max(ratios) > CHANGE_FACTOR
-            or min(ratios) < 1 / CHANGE_FACTOR
+        ratios = (new.seconds / old.seconds, new.least_seconds / old.least_seconds)
+        if level != old or not all(
+            1 / CHANGE_FACTOR <= ratio <= CHANGE_FACTOR for ratio in ratios
         ):
             return True
     return False
--- a/src/cardamomdyke/planner/summaries.py
+++ b/src/cardamomdyke/planner/summaries.py
@@ -12,10 +12,12 @@
 from msgspec import Struct
 from msgspec.msgpack import Decoder, encode
 
+from cardamomdyke.jobs.records import JobRecord
 from cardamomdyke.model.errors import DECODE_ERRORS
 from cardamomdyke.model.orders import Shape
 from cardamomdyke.scheduling.admission import (
     MAX_SUMMARY_AGE_SECONDS,
+    Arrival,
     ExpectedWait,
     PoolSummary,
 )
@@ -23,6 +25,9 @@
 # Followed by the name of the pool.
 SUMMARY_PREFIX = "l"
 
+# Steps that are kept between two heartbeats; a summary counts the others.
+MAX_ARRIVALS = 1000
+
 # Millicores, megabytes of memory and accelerators.
 Amounts = tuple[int, int, int]
 
@@ -129,15 +134,20 @@
         Newest summary by pool.
     confirmed_at : dict of str to float
         Steady-clock time after which its planner confirmed it, by pool.
+    arrivals : dict of str to list of Arrival
+        Work whose records follow the summary or its newest heartbeat, by pool. The
+        planner did not know it then.
     """
 
     summaries: dict[str, PoolSummary] = field(default_factory=dict)
     confirmed_at: dict[str, float] = field(default_factory=dict)
+    arrivals: dict[str, list[Arrival]] = field(default_factory=dict)
 
     def clear(self) -> None:
         """Forget all summaries before a full read."""
         self.summaries.clear()
         self.confirmed_at.clear()
+        self.arrivals.clear()
 
     def apply(self, key: str, value: bytes, appended_after: float) -> str:
         """Apply a record; return why it cannot be read, or nothing.
@@ -154,6 +164,7 @@
         pool = key.removeprefix(SUMMARY_PREFIX)
         self.summaries.pop(pool, None)
         self.confirmed_at.pop(pool, None)
+        self.arrivals.pop(pool, None)
         if not value:
             return ""
         result = decode_summary(value)
@@ -169,6 +180,17 @@
             if summary.fence == fence:
                 former = self.confirmed_at[pool]
                 self.confirmed_at[pool] = max(former, appended_after)
+                self.arrivals.pop(pool, None)
+
+    def record_arrival(self, record: JobRecord) -> None:
+        """Record a newly accepted job, if the wait of its pool is known."""
+        summary = self.summaries.get(record.pool)
+        if summary is None or not summary.waits or record.order.repetitions:
+            return
+        arrivals = self.arrivals.setdefault(record.pool, [])
+        for step in record.order.steps:
+            if not (step.after or step.long_running) and len(arrivals) < MAX_ARRIVALS:
+                arrivals.append(Arrival(record.priority, record.account, step))
 
     def find(self, pool: str, now: float) -> tuple[PoolSummary | None, float]:
         """Return the summary of a pool, or None, and its age in seconds at most."""
--- a/src/cardamomdyke/scheduling/admission.py
+++ b/src/cardamomdyke/scheduling/admission.py
@@ -5,14 +5,19 @@
 that at once and the pool's capacity goes to the others. In doubt a job is accepted.
 """
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from math import ceil
 from zlib import crc32
 
 from cardamomdyke.model.orders import JobOrder, Shape, StepOrder
-from cardamomdyke.scheduling.forecast import DECLARED_SPREAD
+from cardamomdyke.scheduling.forecast import (
+    DECLARED_SPREAD,
+    RESOURCES,
+    WaitingWork,
+    goes_before,
+)
 from cardamomdyke.scheduling.placement import count_fits
 
 # A completion within this multiple of the objective still has a part of its value.
@@ -79,6 +84,16 @@
         """Wait that the forecast allows at least."""
         return self.seconds / max(1.0, self.spread)
 
+    def make_work(self) -> WaitingWork:
+        """Return new work of this kind."""
+        step = StepOrder(
+            self.tasks,
+            self.shape,
+            gang=self.unit_tasks > 1,
+            rack_sensitive=self.one_rack,
+        )
+        return WaitingWork(step, self.tasks // self.unit_tasks, 0.0)
+
     def is_exceeded_by(self, step: StepOrder, priority: int) -> bool:
         """Return whether a new step certainly waits for as long as this work.
 
@@ -131,6 +146,25 @@
     beyond_share: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A step that can start at once, of a job that was accepted after a summary.
+
+    Attributes
+    ----------
+    priority : int
+        Priority of the job.
+    account : str
+        Client account of the job.
+    step : StepOrder
+        The step.
+    """
+
+    priority: int
+    account: str
+    step: StepOrder
+
+
 @dataclass(frozen=True, slots=True)
 class AdmissionRequest:
     """A submitted job, and what the entry VM knows about it.
@@ -185,7 +219,10 @@
 
 
 def decide_admission(
-    request: AdmissionRequest, summary: PoolSummary | None, age_seconds: float
+    request: AdmissionRequest,
+    summary: PoolSummary | None,
+    age_seconds: float,
+    arrivals: Sequence[Arrival] = (),
 ) -> AdmissionRefusal | None:
     """Decide whether to accept a job.
 
@@ -197,6 +234,8 @@
         Newest summary of its pool; None before the first.
     age_seconds : float
         Longest time since the planner confirmed the summary.
+    arrivals : sequence of Arrival
+        Work of the pool that was accepted after that.
 
     Returns
     -------
@@ -212,7 +251,7 @@
         return make_large_refusal(large, summary)
     if request.guaranteed and request.priority == URGENT_PRIORITY:
         return None
-    return find_lateness(request, summary, age_seconds)
+    return find_lateness(request, summary, age_seconds, arrivals)
 
 
 def is_unlimited(order: JobOrder) -> bool:
@@ -250,7 +289,10 @@
 
 
 def find_lateness(
-    request: AdmissionRequest, summary: PoolSummary, age_seconds: float
+    request: AdmissionRequest,
+    summary: PoolSummary,
+    age_seconds: float,
+    arrivals: Sequence[Arrival],
 ) -> AdmissionRefusal | None:
     """Return the refusal of a job that would end too late to be of use, or None.
 
@@ -262,7 +304,11 @@
     has_objective = stretch > 1.0 or request.target_seconds > 0.0
     if not has_objective or any(step.estimated_seconds <= 0.0 for step in steps):
         return None
-    waits = [find_wait(step, request.priority, summary) for step in steps]
+    current = [
+        replace(wait, seconds=wait.seconds + measure_arrivals(wait, summary, arrivals))
+        for wait in summary.waits
+    ]
+    waits = [find_wait(step, request.priority, current) for step in steps]
     least_waits = [
         0.0 if wait is None else max(0.0, wait.least_seconds - age_seconds)
         for wait in waits
@@ -287,11 +333,37 @@
     return AdmissionRefusal(AdmissionReason.TOO_LATE, detail, retry_after)
 
 
+def measure_arrivals(
+    wait: ExpectedWait, summary: PoolSummary, arrivals: Iterable[Arrival]
+) -> float:
+    """Return how much longer work waits at least, because of work accepted since.
+
+    Only what certainly goes first is counted, as if all servers were of the largest
+    size.
+    """
+    work = wait.make_work()
+    volumes = [0.0] * len(RESOURCES)
+    for arrival in arrivals:
+        step = arrival.step
+        if arrival.priority > wait.priority or arrival.account in summary.beyond_share:
+            continue
+        tasks = step.count
+        units = 1 if step.gang else tasks
+        if goes_before(WaitingWork(step, units, step.estimated_seconds), work):
+            for position, read in enumerate(RESOURCES):
+                volumes[position] += read(step.shape) * tasks * step.estimated_seconds
+    totals = [read(summary.largest) * summary.servers for read in RESOURCES]
+    return max(
+        volume / total if total else 0.0
+        for volume, total in zip(volumes, totals, strict=True)
+    )
+
+
 def find_wait(
-    step: StepOrder, priority: int, summary: PoolSummary
+    step: StepOrder, priority: int, waits: Iterable[ExpectedWait]
 ) -> ExpectedWait | None:
     """Return the longest known wait that a step certainly has, or None."""
-    matching = [wait for wait in summary.waits if wait.is_exceeded_by(step, priority)]
+    matching = [wait for wait in waits if wait.is_exceeded_by(step, priority)]
     return max(matching, key=lambda wait: wait.least_seconds, default=None)
 
 
