Never refuse a relayed submission for lack of capacity

Cause: a daemon whose append has stalled relays the job to a peer. The peer does not know of that append, and its 429 would turn the answer into 504.

Change: peers serve relayed submissions without a decision on capacity.

--- a/src/cardamomdyke/control/processor.py
+++ b/src/cardamomdyke/control/processor.py
@@ -75,6 +75,8 @@
     withdrawal : int
         Epoch of the job id's newest withdrawal that was known when the request
         arrived; 0 for none.
+    relayed : bool
+        True if a peer sent it, which may have appended it before.
     """
 
     method: str
@@ -83,6 +85,7 @@
     key: str
     body: bytes = b""
     withdrawal: int = 0
+    relayed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +117,7 @@
     target: RequestTarget
     body: bytes
     withdrawal: int
+    relayed: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,7 +182,9 @@
     """Return the command of a request."""
     match request.method:
         case "POST":
-            return Ok(Submission(target, request.body, request.withdrawal))
+            return Ok(
+                Submission(target, request.body, request.withdrawal, request.relayed)
+            )
         case "GET" if not target.job_id:
             return Ok(CountQuery(target))
         case "GET":
@@ -290,9 +296,7 @@
         if job_id in self.context.ledger.jobs:
             self.context.journal.write("job.repeated", job_id)
             return self.answer_state(job_id)
-        return await self.accept_job(
-            result.ok, command.target.tables.version, command.withdrawal
-        )
+        return await self.accept_job(result.ok, command)
 
     @perform.register
     async def _(self, command: CountQuery) -> CallerAnswer:
@@ -343,9 +347,7 @@
             self.context.journal.write("job.cancel_accepted", job_id)
         return self.answer_state(job_id)
 
-    async def accept_job(
-        self, record: JobRecord, version: int, withdrawal: int
-    ) -> CallerAnswer:
+    async def accept_job(self, record: JobRecord, command: Submission) -> CallerAnswer:
         """Append a job and answer that it is queued."""
         began_at = read_clock()
         size = measure_record((JOB_PREFIX + record.job_id, encode_job(record)))
@@ -354,16 +356,17 @@
             return self.refuse(record.job_id, make_large_job(size, limit))
         if not check_contact(self.context):
             return self.refuse(record.job_id, NOT_REACHED)
-        refusal = await find_admission_refusal(self.context, record)
-        if refusal is not None:
-            return self.refuse(record.job_id, refusal)
+        if not command.relayed:
+            refusal = await find_admission_refusal(self.context, record)
+            if refusal is not None:
+                return self.refuse(record.job_id, refusal)
         jobs = self.context.ledger.jobs
         if record.job_id in jobs:
             self.context.journal.write("job.repeated", record.job_id)
             return self.answer_state(record.job_id)
         uncertain = self.context.admission.uncertain
         uncertain.add(record.job_id, read_clock())
-        append = append_job(self.context, record, withdrawal or FIRST_EPOCH)
+        append = append_job(self.context, record, command.withdrawal or FIRST_EPOCH)
         refusal = await await_append(
             self.context, append, lambda: record.job_id in jobs
         )
@@ -376,7 +379,7 @@
             record.job_id,
             queue=record.queue,
             account=record.account,
-            version=version,
+            version=command.target.tables.version,
             priority=record.priority,
             tasks=sum(step.count for step in record.order.steps),
             took=round(read_clock() - began_at, 4),
--- a/src/cardamomdyke/control/relay.py
+++ b/src/cardamomdyke/control/relay.py
@@ -303,6 +303,7 @@
             call.key,
             call.body or b"",
             call.withdrawal or 0,
+            relayed=True,
         )
         tables = self.context.operator.tables
         version = 0 if tables is None else tables.version
--- a/src/cardamomdyke/scheduling/forecast.py
+++ b/src/cardamomdyke/scheduling/forecast.py
@@ -365,6 +365,9 @@
     times = [now, now]
     for read in RESOURCES:
         need = read(work.step.shape) * work.unit_tasks
+        if not need:
+            # What goes first needs none of it either.
+            continue
         profile = make_profile(pool_capacity, releases, read, now)
         for number, items in enumerate((first, last)):
             room_at = find_room(profile, make_backlog(items, read), need)
--- a/tests/control/test_admissions.py
+++ b/tests/control/test_admissions.py
@@ -42,6 +42,7 @@
     StoreFault,
     StoreFaultKind,
 )
+from cardamomdyke.protocol.gen.ttypes import RelayCall
 from cardamomdyke.scheduling.admission import ExpectedWait, PoolSummary
 from tests.control.fakes import KEY, ROUTE, make_context, make_request
 from tests.control.test_driver import make_term
@@ -245,6 +246,21 @@
     assert asyncio.run(receiver.serve(request)).code == 200
 
 
+def test_relayed_submission_is_never_refused_for_capacity() -> None:
+    """Guards against 429 for a job whose append another daemon still awaits."""
+    processor = make_processor(SUMMARY, HEARTBEAT)
+    receiver = RequestReceiver(processor.context, processor, cast(Any, None))
+    request = make_request("POST", JOB, BODY)
+    call = RelayCall(
+        method=request.method,
+        host=request.host,
+        path=request.path,
+        key=request.key,
+        body=request.body,
+    )
+    assert asyncio.run(receiver.serve_peer(call)).code == 200
+
+
 @pytest.mark.parametrize("reads", [False, True], ids=["contact", "reads"])
 def test_store_away_during_overload_refuses_as_usual(reads: bool) -> None:
     """Guards against refusals by a view that cannot be checked with the store."""
--- a/tests/planner/test_forecasts.py
+++ b/tests/planner/test_forecasts.py
@@ -186,3 +186,20 @@
     assert ledger.find(POOL, 13.0) == (SUMMARY, 1.0)
     assert list(ledger.list_waits(13.0)) == [(POOL, 1, 10.0)]
     assert list(ledger.list_waits(20.0)) == []
+
+
+def test_heartbeat_ends_the_count_of_work_that_the_planner_did_not_know() -> None:
+    """Guards against a wait that counts the same work twice."""
+    world = make_world()
+    submit(world, BATCH, 1)
+    record = world.orders[BATCH]
+    ledger = SummaryLedger()
+    ledger.record_arrival(record)
+    assert ledger.arrivals == {}
+    ledger.apply(KEY, encode_summary(SUMMARY), 10.0)
+    ledger.record_arrival(record)
+    (arrival,) = ledger.arrivals[POOL]
+    assert (arrival.priority, arrival.account) == (1, "a")
+    assert arrival.step == record.order.steps[0]
+    ledger.confirm(SUMMARY.fence, 11.0)
+    assert ledger.arrivals == {}
--- a/tests/scheduling/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -12,6 +12,7 @@
     MAX_SUMMARY_AGE_SECONDS,
     AdmissionReason,
     AdmissionRequest,
+    Arrival,
     ExpectedWait,
     PoolSummary,
     decide_admission,
@@ -125,6 +126,37 @@
     assert decide_admission(request, make_summary(13.1), 0.0) is not None
 
 
+@pytest.mark.parametrize(
+    ("arrival", "refused"),
+    [
+        (Arrival(1, "b", replace(STEP, count=8)), True),
+        (Arrival(0, "b", replace(STEP, count=8)), True),
+        (Arrival(2, "b", replace(STEP, count=8)), False),
+        (Arrival(1, "hot", replace(STEP, count=8)), False),
+        (Arrival(1, "b", replace(STEP, count=8, gang=True)), False),
+        (Arrival(1, "b", replace(STEP, count=8, shape=SERVER)), False),
+        (Arrival(1, "b", replace(STEP, count=1)), False),
+    ],
+    ids=[
+        "before",
+        "more urgent",
+        "less urgent",
+        "beyond its share",
+        "larger gang",
+        "larger tasks",
+        "too little",
+    ],
+)
+def test_work_accepted_since_adds_to_the_wait(arrival: Arrival, refused: bool) -> None:
+    """Guards against a burst that is accepted between two summaries.
+
+    Eight tasks take the 16 cores of the two servers for 2 s; the job may wait for 8 s.
+    """
+    summary = replace(make_summary(7.0), beyond_share=("hot",))
+    found = decide_admission(REQUEST, summary, 0.0, [arrival])
+    assert (found is not None) is refused
+
+
 @pytest.mark.parametrize("guaranteed", [False, True])
 def test_task_larger_than_every_server_is_refused(guaranteed: bool) -> None:
     """Guards against a job that waits for ever, or is refused without servers."""
