Bound the summaries beside a heartbeat

Cause: summaries of many pools could take the room of progress in an append.

Change: at most 16 KB; what does not fit is withdrawn and follows later. Work that prefers the rack of its data is not counted as going first.

--- a/src/cardamomdyke/planner/forecasts.py
+++ b/src/cardamomdyke/planner/forecasts.py
@@ -38,8 +38,10 @@
 # A wait that has changed by less than this factor is not published again. The spread of
 # a published one allows for it, so that nobody is refused by a wait that is over.
 CHANGE_FACTOR = 1.1
-# Bounds the records beside a heartbeat, which one append must take.
+# Bounds of the records beside a heartbeat, which one append takes with progress.
+MAX_APPEND_BYTES = 16_384
 MAX_POOLS = 50
+MAX_WAITS = 12
 MAX_ACCOUNTS = 10
 # The store's keys have 255 bytes at most, this one with its prefix.
 MAX_NAME_BYTES = 254
@@ -105,8 +107,9 @@
         return tasks * cores * self.seconds
 
 
-# Priority, beyond its share, kind, queue, declared run time, label and server limit.
-GroupKey = tuple[int, bool, Kind, str, float, str, int]
+# Priority, beyond its share, kind, queue, declared run time, label, server limit, and
+# whether its data lies in a rack.
+GroupKey = tuple[int, bool, Kind, str, float, str, int, bool]
 
 
 def make_kind(step: StepOrder) -> Kind:
@@ -141,6 +144,7 @@
                 step.estimated_seconds,
                 step.required_label,
                 step.server_limit,
+                bool(step.data_rack),
             )
             groups = pools.setdefault(record.pool, {})
             group = groups.get(key)
@@ -254,7 +258,7 @@
                         ceil(max(group.runtime_factor for group in members) * 10) / 10,
                     )
                 )
-    return tuple(waits)
+    return tuple(waits[:MAX_WAITS])
 
 
 def choose_kinds(
@@ -277,7 +281,11 @@
     members = list(groups)
     smallest = min((group.step for group in members), key=lambda step: step.count)
     step = replace(
-        smallest, required_label="", server_limit=0, rack_sensitive=kind.one_rack
+        smallest,
+        required_label="",
+        server_limit=0,
+        data_rack="",
+        rack_sensitive=kind.one_rack,
     )
     seconds = min(group.seconds for group in members)
     return WaitingWork(step, 1 if step.gang else step.count, seconds)
@@ -359,6 +367,7 @@
         ]
         for pool in set(self.published) - set(pools):
             del self.published[pool]
+        room = MAX_APPEND_BYTES
         for pool in pools:
             summary = self.make_summary(state, pool, waiting.get(pool, {}), now)
             self.log_change(state, pool, summary, now)
@@ -366,7 +375,13 @@
             if former is not None and not is_changed(former, summary):
                 continue
             self.published[pool] = summary
-            entries.append((SUMMARY_PREFIX + pool, encode_summary(summary)))
+            value = encode_summary(summary)
+            room -= len(value)
+            if room < 0:
+                # It follows with a later heartbeat; this one must not confirm the old.
+                del self.published[pool]
+                value = b""
+            entries.append((SUMMARY_PREFIX + pool, value))
         return entries
 
     def list_withdrawals(self) -> list[Entry]:
@@ -396,6 +411,7 @@
                 job.record.account
                 for job in state.jobs.values()
                 if job.beyond_share and not job.begun and job.record.pool == pool
+                if len(job.record.account) <= MAX_NAME_BYTES
             }
         )
         return PoolSummary(
--- a/src/cardamomdyke/scheduling/forecast.py
+++ b/src/cardamomdyke/scheduling/forecast.py
@@ -199,7 +199,7 @@
     """Return whether waiting work of a better rank starts first wherever both fit.
 
     Larger units may have to wait while smaller ones start, and so may work that needs
-    a label, a rack or different servers.
+    a label, a rack, the rack of its data or different servers.
     """
     step, shape = item.step, item.step.shape
     own = work.step.shape
@@ -214,7 +214,7 @@
     is_bound = (
         step.required_label not in ("", work.step.required_label)
         or (needs_rack and not (is_same and work.step.rack_sensitive))
-        or bool(step.server_limit)
+        or bool(step.server_limit or step.data_rack)
     )
     return is_smaller and not is_bound
 
--- a/tests/planner/test_forecasts.py
+++ b/tests/planner/test_forecasts.py
@@ -15,6 +15,7 @@
     QueueTables,
     make_queue_tables,
 )
+from cardamomdyke.planner import forecasts
 from cardamomdyke.planner.forecasts import (
     LISTING_SECONDS,
     SummaryPublisher,
@@ -122,6 +123,24 @@
     assert len(publisher.list_records(state, [POOL], world.now)) == 1
 
 
+def test_summaries_beyond_the_room_of_an_append_are_withdrawn(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an append too large, and a heartbeat that confirms an old one."""
+    world = make_world()
+    state, publisher = world.planner.state, SummaryPublisher()
+    publisher.list_records(state, [], world.now)
+    submit(world, BATCH, 1)
+    world.run_for(0.5)
+    submit(world, LATER, 1)
+    world.run_for(0.5)
+    monkeypatch.setattr(forecasts, "MAX_APPEND_BYTES", 10)
+    assert publisher.list_records(state, [], world.now) == [(KEY, b"")]
+    monkeypatch.undo()
+    ((_, value),) = publisher.list_records(state, [POOL], world.now)
+    assert decode_summary(value).ok.waits
+
+
 def test_largest_server_is_claimed_only_once_the_list_is_settled() -> None:
     """Guards against a task refused because the large server is restarting."""
     world = make_world()
