Accept jobs on a summary that holds no numbers

Cause: a damaged record could raise an error for each job of its pool.

Change: what is no number refuses nothing, and Retry-After is bounded first.

--- a/src/cardamomdyke/scheduling/admission.py
+++ b/src/cardamomdyke/scheduling/admission.py
@@ -320,7 +320,8 @@
     critical = find_end(steps, times, [0.0] * len(steps))
     objective = stretch * critical + request.target_seconds
     excess = find_end(steps, times, least_waits) - LATE_FACTOR * objective
-    if excess <= 0.0:
+    # A damaged record may hold what is no number.
+    if not excess > 0.0:
         return None
     detail = (
         f"the pool is full: the wait is at least {max(least_waits):.1f} s, and the "
@@ -412,7 +413,7 @@
     beyond_share : bool
         True if the account is beyond its share.
     """
-    earliest = max(1, ceil(excess_seconds))
+    earliest = max(1, ceil(min(excess_seconds, MAX_RETRY_SECONDS)))
     part = crc32(job_id.encode())
     if priority == URGENT_PRIORITY:
         return min(earliest, URGENT_RETRY_SECONDS - part % URGENT_RETRY_SECONDS)
--- a/tests/scheduling/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -88,6 +88,14 @@
     assert decide_admission(REQUEST, None, 0.0) is None
 
 
+def test_damaged_summary_raises_no_error() -> None:
+    """Guards against 500 for each job of a pool because of one record."""
+    assert decide_admission(REQUEST, make_summary(float("nan")), 0.0) is None
+    found = decide_admission(REQUEST, make_summary(float("inf")), 0.0)
+    assert found is not None
+    assert found.retry_after_seconds <= 1.5 * MAX_RETRY_SECONDS + 1
+
+
 def test_wait_of_less_urgent_work_says_nothing() -> None:
     """Guards against an urgent job refused because bulk work waits."""
     assert decide_admission(REQUEST, make_summary(100.0, priority=2), 0.0) is None
