Merge the forecast of starts and admission by it

Connected here: run times learned by queue correct the order and the forecast, and the size of a task in cores is measured in one place (scheduling/cores.py).

--- a/src/cardamomdyke/control/metrics.py
+++ b/src/cardamomdyke/control/metrics.py
@@ -38,6 +38,8 @@
         Version of the configuration in force; 0 for none.
     slow_servers : int
         Backend servers that the planner found slow; 0 while another daemon plans.
+    expected_waits : tuple of (str, int, float)
+        Pool, priority and longest expected wait in seconds, from summaries in force.
     """
 
     term: int
@@ -45,7 +47,8 @@
     jobs_waiting: int
     jobs_known: int
     tables_version: int
-    slow_servers: int
+    slow_servers: int = 0
+    expected_waits: tuple[tuple[str, int, float], ...] = ()
 
 
 @dataclass
@@ -161,6 +164,14 @@
             ),
         ):
             yield GaugeMetricFamily(f"cardamomdyke_{name}", text, value=value)
+        waits = GaugeMetricFamily(
+            "cardamomdyke_expected_wait_seconds",
+            "Longest expected wait of new work; no series for less than 1 s.",
+            labels=["pool", "priority"],
+        )
+        for pool, priority, seconds in gauges.expected_waits:
+            waits.add_metric([pool, str(priority)], seconds)
+        yield waits
 
 
 def make_metrics(journal: Journal) -> Metrics:
--- a/src/cardamomdyke/control/relay.py
+++ b/src/cardamomdyke/control/relay.py
@@ -226,6 +226,9 @@
                 return choose_answer(request, answers)
             answers += await self.serve_once(request)
             answer = choose_answer(request, answers)
+            if request.method == "POST" and answer.code == NOT_KNOWN.code:
+                job_id = request.path[-JOB_ID_LENGTH:]
+                self.context.admission.uncertain.add(job_id, read_clock())
             elapsed_seconds = read_clock() - began_at
             is_last_try = (
                 request.method == "GET"
@@ -300,6 +303,7 @@
             call.key,
             call.body or b"",
             call.withdrawal or 0,
+            relayed=True,
         )
         tables = self.context.operator.tables
         version = 0 if tables is None else tables.version
--- a/src/cardamomdyke/control/terms.py
+++ b/src/cardamomdyke/control/terms.py
@@ -15,6 +15,7 @@
 from cardamomdyke.control.recorder import Recorder
 from cardamomdyke.control.supervision import log_crash
 from cardamomdyke.jobs.ledger import Change
+from cardamomdyke.planner.forecasts import SummaryPublisher
 from cardamomdyke.planner.inputs import Limits
 from cardamomdyke.planner.polls import update_servers
 from cardamomdyke.planner.progress import restore_jobs
@@ -86,7 +87,14 @@
     client = ServerClient(context.http)
     lost_candidates = candidacy.list_lost_candidates()
     term = Term(
-        context, leadership, recorder, client, directory, state, lost_candidates
+        context,
+        leadership,
+        recorder,
+        client,
+        directory,
+        state,
+        lost_candidates,
+        publisher=SummaryPublisher(state.learning.estimate_run),
     )
     term.spawn(feed.follow_forever())
     return term
--- a/src/cardamomdyke/planner/learning.py
+++ b/src/cardamomdyke/planner/learning.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from cardamomdyke.scheduling.forecast import DeclaredEstimate
 from cardamomdyke.scheduling.runtimes import RuntimeBook
 from cardamomdyke.scheduling.speeds import SpeedBook
 
@@ -26,6 +27,18 @@
         book = self.speeds.get(pool)
         return 1.0 if book is None else book.find_slowness(server)
 
+    def estimate_seconds(self, queue: str, declared_seconds: float) -> float:
+        """Return the expected run time of a queue's tasks; 0 if none is declared."""
+        return self.runtimes.estimate(queue, declared_seconds).seconds
+
+    def estimate_run(self, queue: str, declared_seconds: float) -> DeclaredEstimate:
+        """Return the expected run time and the factor by which it may be off."""
+        expected = self.runtimes.estimate(queue, declared_seconds)
+        if expected.seconds <= 0.0:
+            return DeclaredEstimate(declared_seconds)
+        factor = 1.0 + expected.spread / expected.seconds
+        return DeclaredEstimate(expected.seconds, factor)
+
     def count_slow(self) -> int:
         """Return the number of slow servers of all pools."""
         return sum(book.count_slow() for book in self.speeds.values())
--- a/src/cardamomdyke/planner/ordering.py
+++ b/src/cardamomdyke/planner/ordering.py
@@ -5,6 +5,7 @@
 from cardamomdyke.planner.inputs import Outline
 from cardamomdyke.planner.occurrences import find_due_unix_seconds
 from cardamomdyke.planner.state import Job, PlannerState, Unit, list_indices
+from cardamomdyke.scheduling.cores import measure_cores
 from cardamomdyke.scheduling.objectives import (
     Estimator,
     StepWork,
@@ -12,7 +13,6 @@
     find_critical_seconds,
     find_remaining_seconds,
     make_objective,
-    measure_cores,
     measure_work,
     use_declared,
 )
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -78,7 +78,7 @@
     draft.guaranteed = find_guaranteed(state, waiting)
     draft.allowances = measure_allowances(state)
     mark_guaranteed(waiting, draft.guaranteed)
-    draft.ranks = rank_jobs(state, waiting, now)
+    draft.ranks = rank_jobs(state, waiting, now, state.learning.estimate_seconds)
     ranked = [state.jobs[job_id] for job_id in draft.ranks]
     covered = sorted(
         (job for job in waiting if job.job_id in draft.guaranteed), key=rank_covered
--- a/src/cardamomdyke/planner/preemption.py
+++ b/src/cardamomdyke/planner/preemption.py
@@ -3,12 +3,8 @@
 from cardamomdyke.model.orders import StepOrder
 from cardamomdyke.planner.endings import may_await_end
 from cardamomdyke.planner.state import Attempt, Job, MemberPhase, PlannerState, Unit
-from cardamomdyke.scheduling.losses import (
-    StopTimes,
-    count_repeats,
-    estimate_loss,
-    measure_size,
-)
+from cardamomdyke.scheduling.cores import measure_cores
+from cardamomdyke.scheduling.losses import StopTimes, count_repeats, estimate_loss
 from cardamomdyke.scheduling.preemption import Requester, Victim, VictimIndex
 
 # Exceeds the cost of any other stop, so that long-running tasks are preempted last.
@@ -97,7 +93,7 @@
             victim_index.allowed_stops[limited_step] = allowed
     repeats = count_repeats(unit.preemptions, now - unit.preempted_at)
     loss = estimate_loss(
-        measure_size(shape) * sum(counts.values()),
+        measure_cores(shape) * sum(counts.values()),
         now - max(attempt.started_at, attempt.checkpoint_seen_at),
         step.checkpointing,
         times,
--- a/src/cardamomdyke/scheduling/losses.py
+++ b/src/cardamomdyke/scheduling/losses.py
@@ -2,11 +2,6 @@
 
 from dataclasses import dataclass
 
-from cardamomdyke.model.orders import Shape
-
-# Weight of an accelerator in processor cores, as the platform prices it.
-CORES_PER_ACCELERATOR = 8.0
-MILLICORES = 1000.0
 # A stopped attempt is a repeated victim for this long, about two runs of a batch gang.
 RECENT_STOP_SECONDS = 20.0
 # Each earlier stop multiplies the cost, so that work of up to this many times the loss
@@ -49,12 +44,6 @@
     cost: float
 
 
-def measure_size(shape: Shape) -> float:
-    """Return the resources of a task in processor cores."""
-    cores = shape.millicores / MILLICORES
-    return cores + shape.accelerators * CORES_PER_ACCELERATOR
-
-
 def count_repeats(stops: int, seconds_since_stop: float) -> int:
     """Return how many earlier stops of a unit count in the cost of the next one.
 
--- a/src/cardamomdyke/scheduling/objectives.py
+++ b/src/cardamomdyke/scheduling/objectives.py
@@ -7,8 +7,6 @@
 from dataclasses import dataclass
 from math import log
 
-from cardamomdyke.model.orders import Shape
-
 # A completion later than this many times the objective has no value to the caller.
 LATE_FACTOR = 3.0
 # A job that has waited for this many times its objective goes first.
@@ -17,9 +15,6 @@
 LATE_VALUE = 0.25
 # Declared run times are off by up to this factor, in either direction.
 SPREAD = 1.9
-# Weight of an accelerator in processor cores, as the platform prices it.
-CORES_PER_ACCELERATOR = 8.0
-MILLICORES = 1000.0
 # Bounds of a run time, so that sums and quotients of any declared times are finite.
 MIN_RUN_SECONDS = 0.001
 MAX_RUN_SECONDS = 1e9
@@ -93,11 +88,6 @@
     return declared_seconds
 
 
-def measure_cores(shape: Shape) -> float:
-    """Return a task's processor cores; an accelerator counts as 8."""
-    return shape.millicores / MILLICORES + CORES_PER_ACCELERATOR * shape.accelerators
-
-
 def make_objective(
     arrived_at: float, stretch: float, target_seconds: float, critical_seconds: float
 ) -> Objective | None:
