Test the order under a long queue and a gang among small jobs

Cause: nothing showed that a gang starts while small jobs of its priority overload the pool, or that a pass describes only jobs that changed.

Change: both are tests of the planner's simulation.

--- a/tests/planner/test_order.py
+++ b/tests/planner/test_order.py
@@ -1,6 +1,7 @@
 """Order of the planner's jobs within a priority and share."""
 
 from dataclasses import replace
+from random import Random
 
 import pytest
 
@@ -13,7 +14,11 @@
     rank_jobs,
 )
 from cardamomdyke.planner.progress import add_job
-from cardamomdyke.scheduling.objectives import use_declared
+from cardamomdyke.scheduling.objectives import (
+    AGING_FACTOR,
+    LATE_FACTOR,
+    use_declared,
+)
 from cardamomdyke.scheduling.ordering import Standing
 from cardamomdyke_standins.platform_server import StepPlan
 from tests.planner.test_planner import JOB, OTHER, THIRD, make_step, make_world
@@ -37,8 +42,8 @@
     return replace(make_step(count, accelerators), estimated_seconds=seconds)
 
 
-def submit(world: World, job_id: str, **fields: object) -> None:
-    steps = [(make_step(1, 8), StepPlan(1.0))]
+def submit(world: World, job_id: str, count: int = 1, **fields: object) -> None:
+    steps = [(make_step(count, 8), StepPlan(1.0, count))]
     world.submit(job_id, steps, **fields)
 
 
@@ -204,3 +209,47 @@
             assert kept is not None
             assert kept == make_outline(state, job, kept, kept.version, world.now)
     assert world.violations == []
+
+
+def test_pass_over_a_long_queue_describes_only_changed_jobs() -> None:
+    """Guards against a planner that is busy with ranking 300 jobs of 3,000 tasks."""
+    world = make_busy_world()
+    job_ids = [f"{0x1000 + number:016x}" for number in range(300)]
+    for job_id in job_ids:
+        submit(world, job_id, count=10)
+    world.run_for(0.5)
+    state = world.planner.state
+    before = {job.job_id: job.outline for job in state.jobs.values()}
+    assert len(before) == 301
+    state.jobs[job_ids[7]].revision += 1
+    world.run_for(1.0)
+    changed = [
+        job.job_id
+        for job in state.jobs.values()
+        if job.outline is not before[job.job_id]
+    ]
+    assert changed == [job_ids[7]]
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_gang_starts_while_small_jobs_of_its_priority_overload_the_pool(
+    seed: int,
+) -> None:
+    """Guards against a gang that small jobs pass over until its value is lost."""
+    random = Random(seed)
+    world = make_world(25)
+    # 12 tasks of 2 s each 0.1 s are 1.2 times what 200 accelerators can do.
+    for number in range(200):
+        if number == 50:
+            gang = make_step(4, 4, gang=True)
+            world.submit(JOB, [(gang, StepPlan(1.0, 4, gang=True))])
+        seconds = random.uniform(1.0, 3.0)
+        small = make_timed_step(12, 1, seconds * random.uniform(0.6, 1.6))
+        world.submit(f"{0x1000 + number:016x}", [(small, StepPlan(seconds, 12))])
+        world.run_for(0.1)
+    placed = [note for note in world.notes if note.subject == JOB]
+    assert placed[0].kind == "unit.placed"
+    assert (
+        float(str(placed[0].facts["waited"]))
+        <= LATE_FACTOR / AGING_FACTOR * AGING_SECONDS
+    )
