Rank a job that cannot be described as one without steps

Cause: an error in the description of one job would end the planner's term, and that of each later planner.

Change: the error is logged as job.unranked, and the job ranks without steps until its progress changes.

Run: tests/planner/test_order.py and tests/scheduling, 38 passed; mypy, ruff.

--- a/src/cardamomdyke/planner/ordering.py
+++ b/src/cardamomdyke/planner/ordering.py
@@ -50,10 +50,28 @@
     dict of str to Rank
         Ranks by job id, in order.
     """
-    described = [describe_job(state, job, now, estimate) for job in jobs]
+    described = [describe_safely(state, job, now, estimate) for job in jobs]
     return {rank.job_id: rank for rank in rank_waiting(described, now)}
 
 
+def describe_safely(
+    state: PlannerState, job: Job, now: float, estimate: Estimator
+) -> WaitingJob:
+    """Describe a job; after an unexpected error it counts as one without steps.
+
+    An error that ends the term would end that of each later planner too. The steps are
+    tried again once the job's progress changes.
+    """
+    try:
+        return describe_job(state, job, now, estimate)
+    except Exception as error:
+        state.note("job.unranked", job.job_id, error=repr(error))
+        job.outline = Outline(
+            find_version(job), NO_OCCURRENCE, job.arrived_at, (), 0.0, True, False
+        )
+        return describe_job(state, job, now, estimate)
+
+
 def describe_job(
     state: PlannerState, job: Job, now: float, estimate: Estimator
 ) -> WaitingJob:
@@ -84,9 +102,14 @@
     )
 
 
+def find_version(job: Job) -> tuple[int, int, int]:
+    """Return what changes with each change of a job's units."""
+    return job.revision, job.next_occurrence, len(job.units)
+
+
 def find_outline(state: PlannerState, job: Job, now: float) -> Outline:
     """Return the outline of a job, made again only after a change of its progress."""
-    version = (job.revision, job.next_occurrence, len(job.units))
+    version = find_version(job)
     former = job.outline
     if former is not None and former.version == version:
         return former
--- a/tests/planner/test_order.py
+++ b/tests/planner/test_order.py
@@ -124,6 +124,21 @@
     assert find_standings(world, factor=5.0) == {JOB: Standing.IN_TIME}
 
 
+def test_job_that_cannot_be_ranked_does_not_end_the_term() -> None:
+    """Guards against one odd record that keeps every planner from planning."""
+    world = make_busy_world(seconds=1.0)
+    for job_id in (JOB, OTHER):
+        submit(world, job_id)
+    record = world.orders[JOB]
+    step = replace(record.order.steps[0], after=(7,))
+    odd = replace(record, order=replace(record.order, steps=(step,)))
+    add_job(world.planner.state, odd, world.now)
+    world.run_for(5.0)
+    assert world.find_phase(OTHER) is JobPhase.COMPLETED
+    noted = [note.subject for note in world.notes if note.kind == "job.unranked"]
+    assert set(noted) == {JOB}
+
+
 def test_cheap_job_goes_ahead_of_an_older_one_and_the_log_says_so() -> None:
     """Guards against an order that the log does not show."""
     world = make_busy_world(seconds=2.0)
