Find badly degraded servers by the progress of their runs

Cause: ends show a slow server only after 13 to 20 ends, not for gangs and not to a new planner, so a server that is 7 times slower for some seconds still gets urgent gangs.

Change: ProgressBook compares the rate of a run between two reports with the rates of its step on other servers. The mark ends with usual progress or after 5 s without evidence. Learning.find_slowness returns the larger of both slownesses. server.slow and server.usual state `by`. The stand-in of the platform reports progress that heeds its slowness.

--- a/src/cardamomdyke/planner/learning.py
+++ b/src/cardamomdyke/planner/learning.py
@@ -1,7 +1,11 @@
-"""What a planner has learned of run times and of the speeds of servers."""
+"""What a planner has learned of run times and of the speeds of servers.
+
+Ends show which servers are slow for good, reported progress which are degraded now.
+"""
 
 from dataclasses import dataclass, field
 
+from cardamomdyke.scheduling.progress import ProgressBook
 from cardamomdyke.scheduling.runtimes import RuntimeBook
 from cardamomdyke.scheduling.speeds import SpeedBook
 
@@ -16,22 +20,38 @@
         Errors of declared run times, by queue.
     speeds : dict of str to SpeedBook
         Speeds of the servers, by pool.
+    progress : ProgressBook
+        Progress of the runs of all pools.
     """
 
     runtimes: RuntimeBook = field(default_factory=RuntimeBook)
     speeds: dict[str, SpeedBook] = field(default_factory=dict)
+    progress: ProgressBook = field(default_factory=ProgressBook)
 
     def find_slowness(self, pool: str, server: str) -> float:
-        """Return the slowness of a pool's server; 1.0 for an unknown or usual one."""
+        """Return the slowness of a pool's server; 1.0 for an unknown or usual one.
+
+        It is the larger one of those that ends and progress show.
+        """
+        learned = self.find_learned(pool, server)
+        return max(learned, self.progress.find_slowness(server))
+
+    def find_learned(self, pool: str, server: str) -> float:
+        """Return the slowness of a pool's server by the ends of its runs."""
         book = self.speeds.get(pool)
         return 1.0 if book is None else book.find_slowness(server)
 
     def count_slow(self) -> int:
         """Return the number of slow servers of all pools."""
-        return sum(book.count_slow() for book in self.speeds.values())
+        slow = sum(book.count_slow() for book in self.speeds.values())
+        return slow + sum(
+            all(book.find_slowness(name) <= 1.0 for book in self.speeds.values())
+            for name in self.progress.marks
+        )
 
     def forget_server(self, pool: str, server: str) -> None:
         """Forget a server that is gone or was replaced."""
+        self.progress.forget(server)
         book = self.speeds.get(pool)
         if book is None:
             return
--- a/src/cardamomdyke/planner/observations.py
+++ b/src/cardamomdyke/planner/observations.py
@@ -20,6 +20,9 @@
 # that is at most this share of its duration.
 MAX_START_DOUBT = 0.1
 MILLISECONDS = 1000.0
+# Evidence of a server's speed, in log lines.
+BY_ENDS = "ends"
+BY_PROGRESS = "progress"
 
 
 def observe_end(
@@ -62,7 +65,7 @@
     book = learning.speeds.setdefault(pool, SpeedBook())
     key = (job.job_id, unit.key[0], unit.key[1])
     for changed in book.observe(name, key, seconds, min(step.count, MAX_TASKS)):
-        note_speed(state, book, changed)
+        note_speed(state, changed, book.find_slowness(changed), BY_ENDS)
 
 
 def is_measurable(job: Job, unit: Unit, attempt: Attempt) -> bool:
@@ -85,18 +88,33 @@
     index = unit.key[2]
     if index == GANG_INDEX or index >= MAX_TASKS or step.data_rack:
         return False
-    started_at = attempt.working_since + state.unix_offset
+    return is_warm(state, server, attempt.working_since)
+
+
+def is_warm(state: PlannerState, server: Server, at: float) -> bool:
+    """Return whether a server's warm-up was over at a time of the steady clock."""
     warm_at = server.instance / MILLISECONDS + server.entry.warm_up_seconds
-    return not server.entry.warm_up_seconds or started_at >= warm_at
+    return not server.entry.warm_up_seconds or at + state.unix_offset >= warm_at
+
 
+def note_speed(state: PlannerState, name: str, slowness: float, by: str) -> None:
+    """Write that a server has become slow, or usual again.
 
-def note_speed(state: PlannerState, book: SpeedBook, name: str) -> None:
-    """Write that a server has become slow, or usual again."""
-    slowness = book.find_slowness(name)
+    Parameters
+    ----------
+    state : PlannerState
+        Modified in place.
+    name : str
+        Name of the server.
+    slowness : float
+        Its slowness by one kind of evidence; 1.0 for a usual server.
+    by : str
+        Kind of evidence: `BY_ENDS` or `BY_PROGRESS`.
+    """
     if slowness > 1.0:
-        state.note("server.slow", name, slowness=round(slowness, 2))
+        state.note("server.slow", name, slowness=round(slowness, 2), by=by)
     else:
-        state.note("server.usual", name)
+        state.note("server.usual", name, by=by)
 
 
 def forget_server(
@@ -118,6 +136,9 @@
         same = same and entry.capacity == later_entry.capacity
         if same or entry.instance == later_entry.instance:
             return
-    if state.learning.find_slowness(entry.pool, entry.name) > 1.0:
-        state.note("server.usual", entry.name, forgotten=True)
-    state.learning.forget_server(entry.pool, entry.name)
+    learning = state.learning
+    if learning.find_learned(entry.pool, entry.name) > 1.0:
+        state.note("server.usual", entry.name, by=BY_ENDS, forgotten=True)
+    if learning.progress.find_slowness(entry.name) > 1.0:
+        state.note("server.usual", entry.name, by=BY_PROGRESS, forgotten=True)
+    learning.forget_server(entry.pool, entry.name)
--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -41,6 +41,7 @@
     measure_allowances,
     use_allowance,
 )
+from cardamomdyke.planner.rates import review_progress
 from cardamomdyke.planner.relaxation import HEADROOM, forget_measures, may_relax
 from cardamomdyke.planner.seeking import choose_unit_servers, count_placed
 from cardamomdyke.planner.state import (
@@ -72,6 +73,7 @@
         Steady-clock seconds.
     """
     update_occurrences(state, now)
+    review_progress(state, now)
     draft = Draft(state, now)
     waiting = [job for job in state.jobs.values() if not job.is_final]
     draft.guaranteed = find_guaranteed(state, waiting)
--- a/src/cardamomdyke/planner/polls.py
+++ b/src/cardamomdyke/planner/polls.py
@@ -28,11 +28,9 @@
     was_missing,
 )
 from cardamomdyke.planner.expiry import note_lost_run, release_members
-from cardamomdyke.planner.leases import (
-    ClockReading,
-    estimate_clock,
-)
+from cardamomdyke.planner.leases import ClockReading, estimate_clock
 from cardamomdyke.planner.observations import forget_server, observe_end
+from cardamomdyke.planner.rates import observe_progress
 from cardamomdyke.planner.state import (
     Job,
     Member,
@@ -355,6 +353,7 @@
         unit.checkpoint = report.checkpoint
         if unit.attempt is not None:
             unit.attempt.checkpoint_seen_at = now
+    observe_progress(state, server, job, unit, member, report, now)
     member.at_work = report.percent >= AT_WORK_PERCENT
     confirm_member(state, job, unit, member, server, now)
 
--- a/src/cardamomdyke_standins/platform_server.py
+++ b/src/cardamomdyke_standins/platform_server.py
@@ -110,11 +110,13 @@
             return self.saved_work
         return self.saved_work + now - self.working_since
 
-    def measure_percent(self, now: float) -> float:
+    def measure_percent(self, now: float, slowness: float) -> float:
         """Return the progress that servers report, in whole percent."""
         if self.plan.seconds >= LASTING_SECONDS:
             return 100.0 if self.measure_work(now) >= STARTUP_SECONDS else 0.0
-        return min(100.0, 100.0 * self.measure_work(now) // self.plan.seconds)
+        return min(
+            100.0, 100.0 * self.measure_work(now) // (self.plan.seconds * slowness)
+        )
 
 
 @dataclass
@@ -274,7 +276,7 @@
                 item.task,
                 item.run,
                 self.find_checkpoint(item, now),
-                item.measure_percent(now),
+                item.measure_percent(now, self.slowness),
             )
             for item in self.runs.values()
         )
@@ -335,6 +337,15 @@
                 kind = EndKind.FAILED if failed else EndKind.DONE
                 self.end_run(item, kind, now)
 
+    def change_speed(self, slowness: float, now: float) -> None:
+        """Change the slowness; runs keep the share of their work that is done."""
+        for item in self.runs.values():
+            work = item.measure_work(now) * slowness / self.slowness
+            if item.working_since is not None:
+                item.working_since = now
+            item.saved_work = work
+        self.slowness = slowness
+
     def crash(self, now: float) -> None:
         """Lose all runs and ends; end the other members of the gangs."""
         lost_runs = list(self.runs.values())
