--- a/src/cardamomdyke/scheduling/progress.py
+++ b/src/cardamomdyke/scheduling/progress.py
@@ -335,9 +335,9 @@
         """Return the usual rate of a step, and the margin of its logarithm.
 
         Only rates measured over about the same time count, so that a step in which all
-        become slow shows nothing. Degraded servers do not count. Of others
-        the known slowness is taken out; one that is very slow does not count, since its
-        recovery would make a usual rate look slow.
+        become slow shows nothing. Degraded servers do not count. Of others the known
+        slowness is taken out; one that is very slow does not count, since its recovery
+        would make a usual rate look slow.
 
         Returns
         -------
