Merge the detection of degraded servers by the progress of their runs

The stand-in's progress now heeds the speed of its server, so a stub in tests/planner/test_victims.py takes that argument; its check is unchanged.

--- a/src/cardamomdyke/planner/polls.py
+++ b/src/cardamomdyke/planner/polls.py
@@ -28,11 +28,9 @@
     was_missing,
 )
 from cardamomdyke.planner.expiry import note_lost_run, release_members
-from cardamomdyke.planner.leases import (
-    ClockReading,
-    estimate_clock,
-)
+from cardamomdyke.planner.leases import ClockReading, estimate_clock
 from cardamomdyke.planner.observations import forget_server, observe_end
+from cardamomdyke.planner.rates import observe_progress
 from cardamomdyke.planner.reports import keep_checkpoint, keep_report
 from cardamomdyke.planner.state import (
     Job,
@@ -353,6 +351,7 @@
         return
     job, unit, member = found
     keep_report(unit, report, now)
+    observe_progress(state, server, job, unit, member, report, now)
     member.at_work = report.percent >= AT_WORK_PERCENT
     confirm_member(state, job, unit, member, server, now)
 
--- a/tests/planner/test_victims.py
+++ b/tests/planner/test_victims.py
@@ -119,7 +119,7 @@
     start_nearly_done(world)
     (run,) = list_runs(world, JOB)
     run.plan.seconds = 60.0
-    run.measure_percent = lambda now: 97.0  # type: ignore[method-assign]
+    run.measure_percent = lambda now, slowness: 97.0  # type: ignore[method-assign]
     world.run_for(2.0)
     assert list_runs(world, URGENT)
     assert world.violations == []
