--- a/src/cardamomdyke_standins/nodes.py
+++ b/src/cardamomdyke_standins/nodes.py
@@ -86,6 +86,10 @@
         Largest record of the store.
     append_bytes : int
         Largest append of the store.
+    vm_limits : dict
+        Limits of each VM in its settings file; none by default.
+    request_limits : dict
+        Limits of requests in the configuration.
     """
 
     directory: Path
@@ -97,6 +101,8 @@
     advertised: dict[str, str]
     record_bytes: int = RECORD_BYTES
     append_bytes: int = APPEND_BYTES
+    vm_limits: dict[str, float] = field(default_factory=dict)
+    request_limits: dict[str, int] = field(default_factory=dict)
     deployment: Deployment = field(init=False)
 
     def __post_init__(self) -> None:
@@ -112,7 +118,10 @@
         content = {
             "store": self.store,
             "servers": self.servers,
-            "tables": TABLES,
+            "tables": {
+                **TABLES,
+                "limits": {**TABLES["limits"], **self.request_limits},
+            },
             "advertised": self.advertised,
             "failure_domains": list(DOMAINS),
             "record_bytes": self.record_bytes,
@@ -145,6 +154,7 @@
                 "request_bytes": self.append_bytes,
                 "min_ttl_ms": 1000,
             },
+            "limits": self.vm_limits,
         }
         path = self.directory / f"{vm}.json"
         path.write_bytes(encode(settings))
@@ -219,6 +229,8 @@
     servers: int = 3,
     record_bytes: int = RECORD_BYTES,
     append_bytes: int = APPEND_BYTES,
+    vm_limits: dict[str, float] | None = None,
+    request_limits: dict[str, int] | None = None,
 ) -> Iterator[Nodes]:
     """Run a stand-in platform and daemons during a ``with`` block.
 
@@ -234,6 +246,10 @@
         Largest record of the store.
     append_bytes : int
         Largest append of the store.
+    vm_limits : dict, optional
+        Limits of each VM in its settings file.
+    request_limits : dict, optional
+        Limits of requests in the configuration, where they differ.
 
     Yields
     ------
@@ -264,6 +280,8 @@
         {link.place: link.listen for link in links[1:]},
         record_bytes,
         append_bytes,
+        vm_limits or {},
+        request_limits or {},
     )
     try:
         nodes.start_platform()
--- /dev/null
+++ b/tests/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Daemons under clients that keep to no limits, and the decisions about them."""
