Bound what clients hold on all listening ports

Nothing bounded the sum of what connections hold: bodies, headers, answers that are not read, open connections. The limit of the body that the configuration states was checked after the body was read, peers and readiness collected bodies of 1 MB, and a body of tiny chunks kept the loop busy until the daemon lost the store.

InputGuard applies the decisions of InputBudget to the connections of both daemons, on the ports for callers, peers, readiness and metrics. Relayed requests have their own share. Header size and fields, header and idle timeouts, a minimum rate of bodies and answers, and the number of chunks are limited while a request is read; the limits of the configuration hold at the port for callers. A body is kept in blocks and released when its connection ends: a timer kept it for 10 s in the product's own daemon. Steps are counted before a long submission is decoded, and lists in messages between VMs have at most 16,384 elements. A dropped connection gets no answer; a request that is being served is never dropped.

--- a/src/cardamomdyke/cli/commands.py
+++ b/src/cardamomdyke/cli/commands.py
@@ -51,7 +51,8 @@
 
     Name the platform's settings file with --config=PATH or the environment variable
     CARDAMOMDYKE_CONFIG. With --metrics-port=PORT the daemon also serves metrics at
-    http://HOST:PORT/metrics.
+    http://HOST:PORT/metrics. The environment variables CARDAMOMDYKE_LIMIT_* set the
+    limits of clients; see docs/OPERATIONS.md.
     """
     import asyncio
     import os
@@ -59,6 +60,7 @@
     from cardamomdyke.control.app import run_node
     from cardamomdyke.control.reload import load_settings
     from cardamomdyke.platform.settings import SETTINGS_VARIABLE
+    from cardamomdyke.protocol.limits import read_request_limits
 
     path = flags.pop("config", os.environ.get(SETTINGS_VARIABLE, ""))
     port = str(flags.pop("metrics_port", "0"))
@@ -79,7 +81,10 @@
         problem = result.error
         print(f"{problem.kind}: {problem.message}; {problem.remedy}", file=sys.stderr)
         sys.exit(EXIT_BAD_COMMAND)
-    asyncio.run(run_node(result.ok, path, int(port)))
+    requests = read_request_limits(os.environ)
+    if requests.is_error():
+        fail_command(ProblemKind.BAD_COMMAND, requests.error)
+    asyncio.run(run_node(result.ok, path, int(port), requests.ok))
 
 
 def fail_command(kind: ProblemKind, message: str) -> NoReturn:
--- a/src/cardamomdyke/control/answers.py
+++ b/src/cardamomdyke/control/answers.py
@@ -137,9 +137,9 @@
     return Refusal(413, "job_too_large", detail, remedy)
 
 
-def make_large_headers(limit_bytes: int) -> Refusal:
-    """Return the refusal of headers over the limit."""
-    detail = f"the headers are over {limit_bytes} bytes"
+def make_large_headers(limit_bytes: int, limit_fields: int) -> Refusal:
+    """Return the refusal of headers over the limits."""
+    detail = f"the headers are over {limit_bytes} bytes or {limit_fields} fields"
     return Refusal(431, "headers_too_large", detail, "send fewer or shorter headers")
 
 
--- a/src/cardamomdyke/control/app.py
+++ b/src/cardamomdyke/control/app.py
@@ -13,11 +13,11 @@
 from cardamomdyke.control.context import Context, OperatorState
 from cardamomdyke.control.feeds import TopicFeed
 from cardamomdyke.control.ingress import (
-    MAX_BODY_BYTES,
     make_caller_application,
     make_header_refusal,
     make_readiness_application,
 )
+from cardamomdyke.control.inputs import MAX_BODY_BYTES, make_node_guard
 from cardamomdyke.control.journal import make_journal
 from cardamomdyke.control.leadership import Leadership
 from cardamomdyke.control.metrics import (
@@ -50,8 +50,14 @@
     StoreContact,
 )
 from cardamomdyke.protocol.client import PeerClient
-from cardamomdyke.protocol.connections import start_caller_server
+from cardamomdyke.protocol.connections import (
+    MAX_HEADER_BYTES,
+    SMALL_BODY_BYTES,
+    start_caller_server,
+)
 from cardamomdyke.protocol.gen.ttypes import RelayCall
+from cardamomdyke.protocol.guard import InputGuard
+from cardamomdyke.protocol.limits import PortClass, RequestLimits
 from cardamomdyke.protocol.progress import Progress
 from cardamomdyke.protocol.server import make_peer_application
 
@@ -64,7 +70,8 @@
 # Draining ends this long before SIGKILL, which leaves time for the last answers.
 EXIT_MARGIN_SECONDS = 1.0
 DRAIN_CHECK_PERIOD_SECONDS = 0.05
-IDLE_CONNECTION_TIMEOUT_SECONDS = 30.0
+# A relayed request is a little longer than its body and the longest headers.
+PEER_BODY_BYTES = MAX_BODY_BYTES + 2 * MAX_HEADER_BYTES
 # Pause before an announcement without an answer is repeated.
 ANNOUNCE_WAIT_SECONDS = 0.5
 
@@ -162,19 +169,23 @@
         await asyncio.sleep(ANNOUNCE_WAIT_SECONDS)
 
 
-def make_request_receiver(context: Context) -> RequestReceiver:
+def make_request_receiver(context: Context, guard: InputGuard) -> RequestReceiver:
     """Create the handler of caller requests."""
-    relay = Relay(context, PeerClient(context.http))
+    relay = Relay(context, PeerClient(context.http), budget=guard.budget)
     return RequestReceiver(context, RequestProcessor(context), relay)
 
 
 def start_servers(
-    context: Context, peer: Peer, receiver: RequestReceiver, progress: Progress
+    context: Context,
+    peer: Peer,
+    receiver: RequestReceiver,
+    progress: Progress,
+    guard: InputGuard,
 ) -> list[HTTPServer]:
     """Start the HTTP servers for callers, the load balancer and peer daemons."""
     settings = context.settings
     peers = make_peer_application(
-        {"relay_request": (receiver.serve_peer, RelayCall)}, progress
+        {"relay_request": (receiver.serve_peer, RelayCall)}, progress, PEER_BODY_BYTES
     )
     callers = make_caller_application(receiver, progress)
     host, _, port = settings.caller_address.rpartition(":")
@@ -183,11 +194,16 @@
             callers,
             host,
             int(port),
-            lambda: make_header_refusal(receiver),
-            idle_timeout_seconds=IDLE_CONNECTION_TIMEOUT_SECONDS,
+            lambda: make_header_refusal(receiver, guard),
+            guard=guard,
         ),
-        start_server(make_readiness_application(context), settings.readiness_address),
-        start_server(peers, peer.address),
+        start_server(
+            make_readiness_application(context),
+            settings.readiness_address,
+            guard,
+            PortClass.READINESS,
+        ),
+        start_server(peers, peer.address, guard, PortClass.PEERS),
     ]
 
 
@@ -205,7 +221,7 @@
 
 
 def start_metrics(
-    context: Context, leadership: Leadership, port: int
+    context: Context, leadership: Leadership, port: int, guard: InputGuard
 ) -> list[HTTPServer]:
     """Start the metrics server; a port in use is logged, not fatal."""
 
@@ -228,13 +244,18 @@
     address = f"{context.settings.host}:{port}"
     application = make_metrics_application(context.metrics)
     try:
-        return [start_server(application, address)]
+        return [start_server(application, address, guard, PortClass.METRICS)]
     except OSError as error:
         context.journal.write("metrics.unavailable", address, detail=str(error))
         return []
 
 
-async def run_node(settings: NodeSettings, path: str, metrics_port: int = 0) -> None:
+async def run_node(
+    settings: NodeSettings,
+    path: str,
+    metrics_port: int = 0,
+    requests: RequestLimits | None = None,
+) -> None:
     """Serve until a termination signal, then drain and return.
 
     Parameters
@@ -245,6 +266,8 @@
         Settings file, read again when it changes.
     metrics_port : int
         Port of the metrics server; 0 for none.
+    requests : RequestLimits, optional
+        Limits of requests where the configuration states none.
     """
     context = make_context(settings)
     journal = context.journal
@@ -271,8 +294,10 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
     progress = Progress()
-    servers = start_servers(context, peer, make_request_receiver(context), progress)
-    servers += start_metrics(context, leadership, metrics_port)
+    guard = make_node_guard(context, requests or RequestLimits())
+    receiver = make_request_receiver(context, guard)
+    servers = start_servers(context, peer, receiver, progress, guard)
+    servers += start_metrics(context, leadership, metrics_port, guard)
     join_task = loop.create_task(
         run_supervised(journal, "join", leadership.join_forever)
     )
@@ -298,16 +323,20 @@
     journal.write("daemon.stopped", settings.vm)
 
 
-def start_server(application: Application, address: str) -> HTTPServer:
+def start_server(
+    application: Application, address: str, guard: InputGuard, port_class: PortClass
+) -> HTTPServer:
     """Start an HTTP server on ``host:port``."""
     host, _, port = address.rpartition(":")
-    server = HTTPServer(
+    is_for_peers = port_class is PortClass.PEERS
+    return start_caller_server(
         application,
-        idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_SECONDS,
-        max_body_size=MAX_BODY_BYTES,
+        host,
+        int(port),
+        guard=guard,
+        port_class=port_class,
+        body_bytes=PEER_BODY_BYTES if is_for_peers else SMALL_BODY_BYTES,
     )
-    server.listen(int(port), host)
-    return server
 
 
 async def drain(
--- a/src/cardamomdyke/control/ingress.py
+++ b/src/cardamomdyke/control/ingress.py
@@ -14,11 +14,13 @@
 )
 from cardamomdyke.control.clock import read_clock
 from cardamomdyke.control.context import Context, check_contact
+from cardamomdyke.control.inputs import find_body_limit
 from cardamomdyke.control.processor import CallerRequest
 from cardamomdyke.control.relay import RequestReceiver
 from cardamomdyke.platform.submissions import KEY_HEADER, READINESS_PATH
 from cardamomdyke.protocol.bodies import BodyHandler
-from cardamomdyke.protocol.connections import MAX_HEADER_BYTES, encode_reply
+from cardamomdyke.protocol.connections import CallerStream, encode_reply
+from cardamomdyke.protocol.guard import InputGuard
 from cardamomdyke.protocol.progress import Progress
 
 # A daemon without an answer of the store for this long reports not ready. Requests
@@ -27,8 +29,6 @@
 READY_CONTACT_TIMEOUT_SECONDS = 1.3
 # The end of a connection arrives within this time after its last request.
 DEPARTURE_WAIT_SECONDS = 0.1
-# A configuration may set a lower limit.
-MAX_BODY_BYTES = 1_048_576
 
 
 class CallerHandler(BodyHandler):
@@ -40,21 +40,33 @@
         """Store the shared objects."""
         self.receiver = receiver
         self.progress = progress
+        self.body_limit_bytes = find_body_limit(receiver.context)
 
     def prepare(self) -> None:
         """Read the body; a request counts only once that is complete.
 
         A caller that stops sending does not delay a shutdown.
         """
+        self.assign_account()
         self.start_body()
 
+    def assign_account(self) -> None:
+        """Count the request against its client account, if the key is known."""
+        tables = self.receiver.context.operator.tables
+        stream = getattr(self.request.connection, "stream", None)
+        if tables is None or not isinstance(stream, CallerStream):
+            return
+        key = self.request.headers.get(KEY_HEADER, "")
+        account = tables.accounts_by_key.get(key)
+        stream.assign_account(account.name if account else "")
+
     def find_body_limit(self) -> int:
         """Return the limit of the body, in bytes."""
-        return MAX_BODY_BYTES
+        return self.body_limit_bytes
 
     def refuse_large_body(self) -> None:
         """Reply that the body exceeds the limit."""
-        refusal = make_large_body(MAX_BODY_BYTES)
+        refusal = make_large_body(self.body_limit_bytes)
         self.write_answer(self.receiver.refuse(self.request.path, refusal))
 
     def write_error(self, status_code: int, **details: object) -> None:
@@ -150,9 +162,11 @@
     )
 
 
-def make_header_refusal(receiver: RequestReceiver) -> bytes:
+def make_header_refusal(receiver: RequestReceiver, guard: InputGuard) -> bytes:
     """Log and encode the reply to a request whose headers are too long."""
-    answer = receiver.refuse("", make_large_headers(MAX_HEADER_BYTES))
+    limits = guard.budget.requests
+    refusal = make_large_headers(limits.header_bytes, limits.header_fields)
+    answer = receiver.refuse("", refusal)
     return encode_reply(HTTPStatus(answer.code), {}, answer.body)
 
 
--- a/src/cardamomdyke/control/relay.py
+++ b/src/cardamomdyke/control/relay.py
@@ -18,6 +18,7 @@
 from cardamomdyke.control.context import Context, check_contact
 from cardamomdyke.control.processor import CallerRequest, RequestProcessor
 from cardamomdyke.jobs.admission import JOB_ID_LENGTH
+from cardamomdyke.protocol.budget import InputBudget
 from cardamomdyke.protocol.client import PeerClient
 from cardamomdyke.protocol.gen.ttypes import RelayCall, RelayReply
 
@@ -27,6 +28,10 @@
 # long plus two answers at its current speed.
 STALL_TIMEOUT_SECONDS = 0.25
 STALL_ANSWERS = 2.0
+# Bytes that a relayed request holds beside its body, and copies of the body: in the
+# message, and in the HTTP client for each peer.
+RELAY_BYTES = 4096
+RELAY_COPIES = 1 + 2 * 3
 # Time between checks of an append in flight.
 CHECK_PERIOD_SECONDS = 0.05
 # Most peers for one request.
@@ -63,12 +68,15 @@
         Until when a peer is skipped, in seconds of `clock`, by address.
     clock : callable
         Steady clock, in seconds.
+    budget : InputBudget or None
+        Limits the memory of relayed requests; None for no limit.
     """
 
     context: Context
     client: PeerClient
     skipped_until: dict[str, float] = field(default_factory=dict)
     clock: Callable[[], float] = read_clock
+    budget: InputBudget | None = None
 
     def list_peers(self) -> list[str]:
         """Return addresses of peers to call, this failure domain's first."""
@@ -97,8 +105,22 @@
         Returns
         -------
         list of CallerAnswer
-            Answers of the peers that may have served it; empty for none.
+            Answers of the peers that may have served it; empty for none, also when
+            there is no room to relay it.
         """
+        if self.budget is None:
+            return await self.call_peers(request)
+        amount = RELAY_BYTES + RELAY_COPIES * len(request.body)
+        if not self.budget.reserve_relay(amount):
+            self.context.journal.count("relay.no_room")
+            return []
+        try:
+            return await self.call_peers(request)
+        finally:
+            self.budget.release_relay(amount)
+
+    async def call_peers(self, request: CallerRequest) -> list[CallerAnswer]:
+        """Call one peer after the other until an answer settles the request."""
         call = RelayCall(
             method=request.method,
             host=request.host,
--- a/src/cardamomdyke/daemon/app.py
+++ b/src/cardamomdyke/daemon/app.py
@@ -5,7 +5,6 @@
 import time
 from dataclasses import dataclass
 
-from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
 from cardamomdyke.adapters.backend import BackendClient
@@ -56,14 +55,22 @@
     Gossip,
     JobCall,
 )
+from cardamomdyke.protocol.guard import InputGuard, make_guard
+from cardamomdyke.protocol.limits import (
+    PortClass,
+    RequestLimits,
+    make_input_limits,
+    read_descriptor_limit,
+)
 from cardamomdyke.protocol.server import make_peer_application
 
 DRAIN_CHECK_PERIOD_SECONDS = 0.05
 # A forwarded request is longer than its body, so the server for other VMs accepts
-# this multiple of the limit.
+# this multiple of the limit, or half of its memory if that is less.
 BODY_LIMIT_FACTOR = 64
-# Idle connections and those with incomplete headers are closed after this.
-HEADER_TIMEOUT_SECONDS = 20.0
+# A body that stays below the minimum rate is refused after 10 s, before its
+# connection is dropped.
+RATE_GRACE_SECONDS = 15.0
 MAX_BODY_SECONDS = 60.0
 # The load balancer notices a failing health check within this time.
 BALANCER_WAIT_SECONDS = 1.0
@@ -184,7 +191,36 @@
     )
 
 
-def make_peer_server(components: NodeComponents) -> Application:
+def make_daemon_guard(node: Node) -> InputGuard:
+    """Create the owner of the input of a daemon."""
+    settings = node.settings
+    limits = make_input_limits(
+        settings.memory_mb,
+        read_descriptor_limit(settings.file_descriptors),
+        settings.maximum_body_bytes,
+    )
+    requests = RequestLimits(
+        header_bytes=settings.maximum_header_bytes,
+        header_seconds=settings.header_timeout_seconds,
+        idle_seconds=settings.idle_timeout_seconds,
+        bytes_per_second=settings.minimum_body_rate,
+        grace_seconds=RATE_GRACE_SECONDS,
+    )
+
+    def report(kind: str, subject: str, fields: dict[str, object]) -> None:
+        detail = " ".join(f"{name}={value}" for name, value in fields.items())
+        node.timeline.record_change(kind, subject, detail)
+
+    return make_guard(limits, lambda: requests, report, node.counters.count)
+
+
+def find_peer_body_limit(guard: InputGuard, settings: Settings) -> int:
+    """Return the limit of a message from another VM, in bytes."""
+    room = guard.budget.limits.ports[PortClass.PEERS].held_bytes // 2
+    return min(settings.maximum_body_bytes * BODY_LIMIT_FACTOR, room)
+
+
+def make_peer_server(components: NodeComponents, limit_bytes: int) -> Application:
     """Create the web application for other VMs."""
     return make_peer_application(
         {
@@ -198,6 +234,7 @@
             "handle_job": (components.job_manager.answer_call, JobCall),
         },
         components.node.progress,
+        limit_bytes,
     )
 
 
@@ -208,20 +245,27 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
+    guard = make_daemon_guard(components.node)
     caller_host, caller_port = split_address(settings.caller_address)
+    peer_host, peer_port = split_address(
+        settings.peer_listen_address or settings.peer_address
+    )
     servers = [
         start_caller_server(
             make_caller_application(components),
             caller_host,
             caller_port,
-            make_header_refusal,
-            idle_timeout_seconds=HEADER_TIMEOUT_SECONDS,
+            lambda: make_header_refusal(guard.budget.requests),
+            guard=guard,
             body_timeout_seconds=MAX_BODY_SECONDS,
         ),
-        start_server(
-            make_peer_server(components),
-            settings.peer_listen_address or settings.peer_address,
-            settings,
+        start_caller_server(
+            make_peer_server(components, find_peer_body_limit(guard, settings)),
+            peer_host,
+            peer_port,
+            guard=guard,
+            port_class=PortClass.PEERS,
+            body_timeout_seconds=MAX_BODY_SECONDS,
         ),
     ]
     tasks = [
@@ -254,21 +298,6 @@
     components.node.timeline.record_change("daemon.stopped", settings.vm)
 
 
-def start_server(
-    application: Application, address: str, settings: Settings
-) -> HTTPServer:
-    """Serve an application for other VMs on ``host:port``."""
-    host, port = split_address(address)
-    server = HTTPServer(
-        application,
-        max_body_size=settings.maximum_body_bytes * BODY_LIMIT_FACTOR,
-        idle_connection_timeout=HEADER_TIMEOUT_SECONDS,
-        body_timeout=MAX_BODY_SECONDS,
-    )
-    server.listen(port, host)
-    return server
-
-
 async def drain_node(components: NodeComponents) -> None:
     """Refuse new work, notify balancer and VMs, and finish requests in progress."""
     node = components.node
--- a/src/cardamomdyke/daemon/callers.py
+++ b/src/cardamomdyke/daemon/callers.py
@@ -83,6 +83,11 @@
             make_problem(ProblemKind.BAD_REQUEST, message), "not_run", 408, self
         )
 
+    def on_connection_close(self) -> None:
+        """Stop the timeout of the body, which would keep the handler."""
+        self.stop_body_timer()
+        super().on_connection_close()
+
     def on_finish(self) -> None:
         """Stop the timeout of the body."""
         self.stop_body_timer()
--- a/src/cardamomdyke/daemon/replies.py
+++ b/src/cardamomdyke/daemon/replies.py
@@ -9,7 +9,8 @@
 
 from cardamomdyke.model.errors import Problem, ProblemKind, make_problem
 from cardamomdyke.model.outcomes import Finished, NotKnown, NotRun
-from cardamomdyke.protocol.connections import MAX_HEADER_BYTES, encode_reply
+from cardamomdyke.protocol.connections import encode_reply
+from cardamomdyke.protocol.limits import RequestLimits
 
 STATUS_BY_KIND: dict[ProblemKind, int] = {
     ProblemKind.BAD_REQUEST: 400,
@@ -78,10 +79,13 @@
     )
 
 
-def make_header_refusal() -> bytes:
-    """Return the encoded reply to a request whose headers are too long."""
+def make_header_refusal(limits: RequestLimits) -> bytes:
+    """Return the encoded reply to a request whose headers exceed the limits."""
     kind = ProblemKind.HEADERS_TOO_LARGE
-    message = f"the headers are longer than {MAX_HEADER_BYTES} bytes"
+    message = (
+        f"the headers are longer than {limits.header_bytes} bytes or have more than "
+        f"{limits.header_fields} fields"
+    )
     return encode_reply(
         HTTPStatus(STATUS_BY_KIND[kind]),
         {"Request-Id": uuid4().hex, "Outcome": "not_run"},
--- a/src/cardamomdyke/daemon/settings.py
+++ b/src/cardamomdyke/daemon/settings.py
@@ -21,6 +21,11 @@
 BodyBytes = Annotated[int, Meta(ge=1, le=1_073_741_824)]
 DrainSeconds = Annotated[float, Meta(ge=0, le=3600)]
 PeriodSeconds = Annotated[float, Meta(ge=0.2, le=3600)]
+MemoryMegabytes = Annotated[float, Meta(ge=50, le=1_000_000)]
+DescriptorCount = Annotated[int, Meta(ge=128, le=1_048_576)]
+HeaderBytes = Annotated[int, Meta(ge=1024, le=65_536)]
+TimeoutSeconds = Annotated[float, Meta(ge=0.5, le=3600)]
+BytesPerSecond = Annotated[float, Meta(gt=0, le=1_000_000)]
 RetentionSeconds = Annotated[float, Meta(ge=60, le=31_536_000)]
 
 
@@ -55,6 +60,18 @@
     log_retention_seconds : float
         Retention of the log service; summaries are appended again after a
         quarter of it.
+    memory_mb : float
+        Memory of this VM, in units of 1,000,000 bytes.
+    file_descriptors : int
+        Most open descriptors; that of the process if lower.
+    maximum_header_bytes : int
+        Size limit of a request's headers.
+    header_timeout_seconds : float
+        Longest time from the first byte of a request to the end of its headers.
+    idle_timeout_seconds : float
+        Longest time without a byte between requests.
+    minimum_body_rate : float
+        Lowest mean rate of a body or answer after its first 15 s, in bytes per second.
     """
 
     vm: Name
@@ -69,6 +86,12 @@
     drain_seconds: DrainSeconds = 60.0
     usage_period_seconds: PeriodSeconds = 30.0
     log_retention_seconds: RetentionSeconds = 86_400.0
+    memory_mb: MemoryMegabytes = 200.0
+    file_descriptors: DescriptorCount = 4100
+    maximum_header_bytes: HeaderBytes = 65_536
+    header_timeout_seconds: TimeoutSeconds = 20.0
+    idle_timeout_seconds: TimeoutSeconds = 20.0
+    minimum_body_rate: BytesPerSecond = 1024.0
 
 
 def read_settings(
--- a/src/cardamomdyke/model/queues.py
+++ b/src/cardamomdyke/model/queues.py
@@ -105,6 +105,12 @@
         All client accounts.
     body_limit_bytes : int
         Maximum size of a request body.
+    header_limit_bytes : int
+        Maximum size of a request's headers; 0 for the daemon's own limit.
+    header_timeout_seconds : float
+        Longest time to send headers; 0 for the daemon's own limit.
+    idle_timeout_seconds : float
+        Longest time between requests; 0 for the daemon's own limit.
     routes_by_name : dict of str to QueueRoute
         Index of ``routes``.
     accounts_by_key, accounts_by_name : dict of str to Account
@@ -116,6 +122,9 @@
     pools: dict[str, QueuePool]
     accounts: tuple[Account, ...]
     body_limit_bytes: int
+    header_limit_bytes: int = 0
+    header_timeout_seconds: float = 0.0
+    idle_timeout_seconds: float = 0.0
     routes_by_name: dict[str, QueueRoute] = field(default_factory=dict)
     accounts_by_key: dict[str, Account] = field(default_factory=dict)
     accounts_by_name: dict[str, Account] = field(default_factory=dict)
@@ -127,6 +136,9 @@
     pools: dict[str, QueuePool],
     accounts: tuple[Account, ...],
     body_limit_bytes: int,
+    header_limit_bytes: int = 0,
+    header_timeout_seconds: float = 0.0,
+    idle_timeout_seconds: float = 0.0,
 ) -> QueueTables:
     """Create the tables and their indices by name and by key."""
     return QueueTables(
@@ -135,6 +147,9 @@
         pools=pools,
         accounts=accounts,
         body_limit_bytes=body_limit_bytes,
+        header_limit_bytes=header_limit_bytes,
+        header_timeout_seconds=header_timeout_seconds,
+        idle_timeout_seconds=idle_timeout_seconds,
         routes_by_name={route.name: route for route in routes},
         accounts_by_key={key: item for item in accounts for key in item.keys},
         accounts_by_name={account.name: account for account in accounts},
--- a/src/cardamomdyke/platform/settings.py
+++ b/src/cardamomdyke/platform/settings.py
@@ -10,6 +10,7 @@
 from cardamomdyke.membership.peers import PEER_PREFIX
 from cardamomdyke.model.errors import DECODE_ERRORS, Problem, ProblemKind, make_problem
 from cardamomdyke.platform.records import MAX_KEY_BYTES
+from cardamomdyke.protocol.limits import VmLimits
 
 # Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE = "CARDAMOMDYKE_CONFIG"
@@ -86,6 +87,8 @@
         Limits guaranteed or required by the platform.
     power : float
         Processor capacity of this VM, in cores of usual speed.
+    limits : VmLimits
+        Memory and descriptors of this VM.
     """
 
     vm: str
@@ -97,6 +100,7 @@
     store: StoreSettings
     bounds: Bounds
     power: float = 1.0
+    limits: VmLimits = VmLimits()
 
 
 class _Listen(Struct):
@@ -124,6 +128,9 @@
     # "cores" is the speed of the core of which "processor_share" is a fraction.
     processor_share: float = 1.0
     cores: float = 1.0
+    # 0 stands for a limit that is not stated.
+    memory_mb: float = 0.0
+    file_descriptors: int = 0
 
 
 class _Settings(Struct):
@@ -174,6 +181,7 @@
             store=StoreSettings(address=wire.platform.address, limits=limits),
             bounds=_convert_bounds(wire.bounds),
             power=wire.limits.processor_share * wire.limits.cores,
+            limits=_convert_limits(wire.limits),
         )
     )
 
@@ -198,6 +206,16 @@
     return ""
 
 
+def _convert_limits(wire: _Limits) -> VmLimits:
+    default = VmLimits()
+    return VmLimits(
+        wire.memory_mb if wire.memory_mb > 0 else default.memory_mb,
+        wire.file_descriptors
+        if wire.file_descriptors > 0
+        else default.file_descriptors,
+    )
+
+
 def _convert_bounds(wire: _Bounds) -> Bounds:
     return Bounds(
         lease_limit_seconds=wire.hold_max_ms / MILLISECONDS,
--- a/src/cardamomdyke/platform/submissions.py
+++ b/src/cardamomdyke/platform/submissions.py
@@ -1,7 +1,7 @@
 """Decodes jobs that callers submit, and encodes the answers."""
 
 from expression import Error, Ok, Result
-from msgspec import Struct, field
+from msgspec import Raw, Struct, field
 from msgspec.json import Decoder, encode
 
 from cardamomdyke.model.errors import DECODE_ERRORS
@@ -13,6 +13,10 @@
 KEY_HEADER = "Api-Key"
 # Path of the load balancer's readiness check.
 READINESS_PATH = "/readiness"
+# A step takes two bytes in a body and 500 in memory. Longer bodies are checked for the
+# number of objects in their steps; a job has at most 3,000 tasks.
+UNCHECKED_BODY_BYTES = 65_536
+MAX_STEP_OBJECTS = 20_000
 
 
 class _Step(Struct):
@@ -44,7 +48,12 @@
     interval_ms: Number = 0.0
 
 
+class _Outline(Struct):
+    steps: Raw
+
+
 _DECODER = Decoder(_Submission)
+_OUTLINE_DECODER = Decoder(_Outline)
 
 
 def decode_submission(data: bytes) -> Result[JobOrder, str]:
@@ -61,6 +70,10 @@
         The job, unchecked, or why it cannot be decoded.
     """
     try:
+        if len(data) > UNCHECKED_BODY_BYTES:
+            steps = bytes(_OUTLINE_DECODER.decode(data).steps)
+            if steps.count(b"{") > MAX_STEP_OBJECTS:
+                return Error(f"the steps have more than {MAX_STEP_OBJECTS} objects")
         wire = _DECODER.decode(data)
     except DECODE_ERRORS as error:
         return Error(str(error))
--- a/src/cardamomdyke/platform/tables.py
+++ b/src/cardamomdyke/platform/tables.py
@@ -20,6 +20,7 @@
 DEFAULT_ATTEMPTS = 1
 DEFAULT_STRETCH = 1.0
 DEFAULT_BODY_BYTES = 262_144
+MILLISECONDS = 1000.0
 
 
 class _Advice(Struct):
@@ -67,6 +68,10 @@
 
 class _Limits(Struct):
     max_body_bytes: int = DEFAULT_BODY_BYTES
+    # 0 stands for a limit that is not stated.
+    max_header_bytes: int = 0
+    header_timeout_ms: float = 0.0
+    idle_timeout_ms: float = 0.0
 
 
 class _Config(Struct):
@@ -107,7 +112,14 @@
     accounts = tuple(_convert_tenant(tenant) for tenant in wire.tenants)
     return Ok(
         make_queue_tables(
-            wire.version, routes, pools, accounts, wire.limits.max_body_bytes
+            wire.version,
+            routes,
+            pools,
+            accounts,
+            wire.limits.max_body_bytes,
+            wire.limits.max_header_bytes,
+            wire.limits.header_timeout_ms / MILLISECONDS,
+            wire.limits.idle_timeout_ms / MILLISECONDS,
         )
     )
 
--- a/src/cardamomdyke/protocol/bodies.py
+++ b/src/cardamomdyke/protocol/bodies.py
@@ -4,6 +4,10 @@
 
 from cardamomdyke.protocol.progress import CountedHandler
 
+# Bodies are kept in blocks of this size. One buffer for each, grown piece by piece,
+# left the allocator with several times the bytes of all bodies.
+BLOCK_BYTES = 16_384
+
 
 @stream_request_body
 class BodyHandler(CountedHandler):
@@ -22,7 +26,7 @@
 
     def start_body(self) -> None:
         """Prepare to read the body, or refuse it by its declared length."""
-        self.body_chunks: list[bytes] = []
+        self.body_blocks: list[bytearray] = []
         self.body_bytes = 0
         declared = self.request.headers.get("Content-Length", "")
         if is_over_limit(declared, self.find_body_limit()):
@@ -34,10 +38,20 @@
             return
         self.body_bytes += len(chunk)
         if self.body_bytes > self.find_body_limit():
-            self.body_chunks.clear()
+            self.body_blocks.clear()
             self.refuse_rest_of_body()
             return
-        self.body_chunks.append(chunk)
+        blocks = self.body_blocks
+        if blocks and len(blocks[-1]) + len(chunk) <= BLOCK_BYTES:
+            blocks[-1] += chunk
+        else:
+            blocks.append(bytearray(chunk))
+
+    def on_connection_close(self) -> None:
+        """Release an incomplete body; the handler itself may live longer."""
+        if not self.request._body_future.done():
+            self.body_blocks = []
+        super().on_connection_close()
 
     def refuse_rest_of_body(self) -> None:
         """Refuse the body, and tell the caller that the connection ends."""
@@ -45,8 +59,10 @@
         self.refuse_large_body()
 
     def read_body(self) -> bytes:
-        """Return the body, which is complete when a method runs."""
-        return b"".join(self.body_chunks)
+        """Return the body, which is complete when a method runs, and release it."""
+        body = b"".join(self.body_blocks)
+        self.body_blocks.clear()
+        return body
 
 
 def is_over_limit(digits: str, limit: int) -> bool:
--- a/src/cardamomdyke/protocol/codec.py
+++ b/src/cardamomdyke/protocol/codec.py
@@ -6,6 +6,8 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 Message = TypeVar("Message")
+# An element of a list takes one byte in a message and some hundred bytes in memory.
+MAX_ELEMENTS = 16_384
 
 
 class MalformedMessageError(ValueError):
@@ -42,7 +44,10 @@
     """
     message: Any = message_type()
     try:
-        message.read(TCompactProtocol(TMemoryBuffer(data)))
+        protocol = TCompactProtocol(
+            TMemoryBuffer(data), container_length_limit=MAX_ELEMENTS
+        )
+        message.read(protocol)
     except Exception as error:
         # The generated code raises unrelated exceptions on bad input.
         raise MalformedMessageError(str(error)) from error
