--- a/src/cardamomdyke/control/driver.py
+++ b/src/cardamomdyke/control/driver.py
@@ -28,7 +28,14 @@
 from cardamomdyke.membership.peers import HEARTBEAT_KEY, PEER_PREFIX
 from cardamomdyke.model.orders import TaskId
 from cardamomdyke.model.servers import CallFault, RunLists
-from cardamomdyke.planner.actions import Action, Note, PollOrder, SendStart, SendStop
+from cardamomdyke.planner.actions import (
+    Action,
+    Count,
+    Note,
+    PollOrder,
+    SendStart,
+    SendStop,
+)
 from cardamomdyke.planner.attempts import cancel_job
 from cardamomdyke.planner.expiry import apply_timeouts
 from cardamomdyke.planner.looks import (
@@ -246,6 +253,10 @@
             waited = float(str(action.facts["waited"]))
             self.context.metrics.observe_start(record.priority, waited)
 
+    @perform.register
+    def _(self, action: Count) -> None:
+        self.context.journal.count(action.name, action.amount)
+
     @perform.register
     def _(self, action: SendStart) -> None:
         key = (action.server, action.task, action.run)
--- a/src/cardamomdyke/planner/actions.py
+++ b/src/cardamomdyke/planner/actions.py
@@ -62,7 +62,23 @@
     facts: dict[str, object]
 
 
-Action = SendStart | SendStop | Note
+@dataclass(frozen=True, slots=True)
+class Count:
+    """Increment of a counter.
+
+    Attributes
+    ----------
+    name : str
+        Name of the counter, such as ``preemption.saving``.
+    amount : int
+        What to add.
+    """
+
+    name: str
+    amount: int = 1
+
+
+Action = SendStart | SendStop | Note | Count
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cardamomdyke/planner/claims.py
+++ b/src/cardamomdyke/planner/claims.py
@@ -232,6 +232,11 @@
         saves=victim.saves,
         repeats=victim.repeats,
     )
+    state.count("preemption.lost_core_seconds", round(victim.lost))
+    if victim.saves:
+        state.count("preemption.saving")
+    if victim.repeats:
+        state.count("preemption.repeated")
     mark_stopping(draft, victim)
     unit = other.units[key]
     unit.preemptions += 1
--- a/src/cardamomdyke/planner/state.py
+++ b/src/cardamomdyke/planner/state.py
@@ -13,7 +13,7 @@
 from cardamomdyke.model.orders import Shape, StepOrder, TaskId
 from cardamomdyke.model.queues import QueueTables
 from cardamomdyke.model.servers import EndKind, ServerEntry
-from cardamomdyke.planner.actions import Action, Note
+from cardamomdyke.planner.actions import Action, Count, Note
 from cardamomdyke.planner.inputs import (
     LapsedRun,
     Limits,
@@ -474,6 +474,10 @@
         """Add an action that writes a log line."""
         self.actions.append(Note(kind, subject, facts))
 
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add an action that increments a counter."""
+        self.actions.append(Count(name, amount))
+
     def mark_changed(self, job: Job) -> None:
         """Schedule a job's progress to be recorded."""
         job.revision += 1
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -61,6 +61,15 @@
     ]
 
 
+def test_counters_of_the_planner_reach_the_metrics() -> None:
+    """Guards against counters of decisions that no operator sees."""
+    term = make_term()
+    term.state.count("preemption.lost_core_seconds", 40)
+    term.state.count("preemption.lost_core_seconds", 2)
+    term.perform_actions()
+    assert term.context.journal.counts["preemption.lost_core_seconds"] == 42
+
+
 @dataclass
 class RecordingStore:
     """Takes the place of a term's recorder, and keeps what it appends."""
