Test the choice of victims under load and over a takeover

Cause: the tests covered single stops without a change of the planner.

Change: urgent gangs arrive on a full pool of which half saves checkpoints; the planner changes halfway. No work that saves nothing may be stopped.

--- a/tests/planner/test_victims.py
+++ b/tests/planner/test_victims.py
@@ -1,5 +1,6 @@
 """Choice of the work that is stopped for urgent jobs."""
 
+from cardamomdyke.jobs.records import JobPhase
 from cardamomdyke.model.orders import Shape, StepOrder, TaskId
 from cardamomdyke_standins.platform_server import Run, StepPlan
 from tests.planner.world import World
@@ -123,3 +124,29 @@
     world.run_for(2.0)
     assert list_runs(world, URGENT)
     assert world.violations == []
+
+
+def test_stops_under_load_and_over_a_takeover_lose_no_work() -> None:
+    """Guards against lost work while enough of what runs saves checkpoints.
+
+    Urgent gangs arrive each 0.8 s on a full pool, and the planner changes halfway.
+    """
+    world = make_world(8)
+    saving = (make_step(32, 1, checkpointing=True), StepPlan(90.0, 32, saves=True))
+    world.submit(JOB, [saving], priority=2)
+    world.run_for(0.3)
+    world.submit(OTHER, [(make_step(32, 1), StepPlan(90.0, 32))], priority=2)
+    world.run_for(0.6)
+    urgent = [f"{number:016x}" for number in range(1, 9)]
+    for number, job_id in enumerate(urgent):
+        if number == 4:
+            world.planner.alive = False
+            world.take_over()
+        gang = (make_step(4, 4, gang=True), StepPlan(0.5, 4, True))
+        world.submit(job_id, [gang], priority=0)
+        world.run_for(0.8)
+    world.run_for(6.0)
+    assert {world.find_phase(job_id) for job_id in urgent} == {JobPhase.COMPLETED}
+    assert [note for note in world.notes if note.kind == "unit.preempted"]
+    assert {count_starts(world, OTHER, index) for index in range(32)} == {1}
+    assert world.violations == []
