Add the restore time to the settings of the supervision test

Cause: the test builds the platform's bounds itself, and a term now reads `restore_seconds`, so the term of the test could not begin.

Change: the bounds of the test have the field.

--- a/tests/control/test_supervision.py
+++ b/tests/control/test_supervision.py
@@ -207,6 +207,7 @@
                     gang_wait_seconds=3.0,
                     stop_grace_seconds=0.9,
                     remote_factor=3.0,
+                    restore_seconds=0.1,
                 ),
             ),
         )
