--- a/src/cardamomdyke/control/driver.py
+++ b/src/cardamomdyke/control/driver.py
@@ -22,7 +22,14 @@
 from cardamomdyke.membership.peers import HEARTBEAT_KEY, PEER_PREFIX
 from cardamomdyke.model.orders import TaskId
 from cardamomdyke.model.servers import CallFault, RunLists
-from cardamomdyke.planner.actions import Action, Note, PollOrder, SendStart, SendStop
+from cardamomdyke.planner.actions import (
+    Action,
+    Count,
+    Note,
+    PollOrder,
+    SendStart,
+    SendStop,
+)
 from cardamomdyke.planner.attempts import cancel_job
 from cardamomdyke.planner.expiry import apply_timeouts
 from cardamomdyke.planner.forecasts import SummaryPublisher
@@ -245,6 +252,10 @@
                 record.priority, str(standing), str(ahead_of)
             )
 
+    @perform.register
+    def _(self, action: Count) -> None:
+        self.context.journal.count(action.name, action.amount)
+
     @perform.register
     def _(self, action: SendStart) -> None:
         key = (action.server, action.task, action.run)
