Give servers, members and victims modules of their own

Change: names move unchanged to planner/servers.py, planner/members.py and scheduling/victims.py, and are imported from there.

--- a/src/cardamomdyke/control/driver.py
+++ b/src/cardamomdyke/control/driver.py
@@ -61,11 +61,12 @@
     handle_start_answer,
     handle_stop_answer,
 )
+from cardamomdyke.planner.servers import Server
 from cardamomdyke.planner.silences import (
     handle_silences_recorded,
     list_silence_records,
 )
-from cardamomdyke.planner.state import PlannerState, Server, find_checkpoint
+from cardamomdyke.planner.state import PlannerState, find_checkpoint
 from cardamomdyke.platform.records import KeyedRecord
 from cardamomdyke.platform.servers import ServerClient, StartOrder
 
--- a/src/cardamomdyke/planner/acknowledgements.py
+++ b/src/cardamomdyke/planner/acknowledgements.py
@@ -1,7 +1,8 @@
 """Ends of runs that may not be acknowledged yet."""
 
 from cardamomdyke.planner.inputs import UnrecordedEnd
-from cardamomdyke.planner.state import PlannerState, Server
+from cardamomdyke.planner.servers import Server
+from cardamomdyke.planner.state import PlannerState
 
 
 def hold_end(state: PlannerState, server: Server, job_id: str) -> None:
--- a/src/cardamomdyke/planner/attempts.py
+++ b/src/cardamomdyke/planner/attempts.py
@@ -5,14 +5,8 @@
 from cardamomdyke.jobs.records import JobPhase
 from cardamomdyke.model.servers import EndKind
 from cardamomdyke.planner.actions import SendStop
-from cardamomdyke.planner.state import (
-    Attempt,
-    Job,
-    Member,
-    MemberPhase,
-    PlannerState,
-    Unit,
-)
+from cardamomdyke.planner.members import Member, MemberPhase
+from cardamomdyke.planner.state import Attempt, Job, PlannerState, Unit
 
 # Delay of a unit's retry, so that a fault that affects every start does not keep
 # the planner busy.
--- a/src/cardamomdyke/planner/claims.py
+++ b/src/cardamomdyke/planner/claims.py
@@ -43,11 +43,10 @@
 from cardamomdyke.scheduling.preemption import (
     Preemption,
     Requester,
-    Victim,
-    VictimIndex,
     find_preemption,
     is_within_limit,
 )
+from cardamomdyke.scheduling.victims import Victim, VictimIndex
 
 
 def hold_reservations(draft: Draft, job: Job) -> None:
--- a/src/cardamomdyke/planner/crashes.py
+++ b/src/cardamomdyke/planner/crashes.py
@@ -12,15 +12,9 @@
 from cardamomdyke.model.servers import ServerEntry
 from cardamomdyke.planner.attempts import end_job, stop_job
 from cardamomdyke.planner.inputs import LapsedRun, Limits, UnitKey
-from cardamomdyke.planner.state import (
-    Attempt,
-    Job,
-    Member,
-    MemberPhase,
-    PlannerState,
-    Server,
-    Unit,
-)
+from cardamomdyke.planner.members import Member, MemberPhase
+from cardamomdyke.planner.servers import Server
+from cardamomdyke.planner.state import Attempt, Job, PlannerState, Unit
 
 # A run that is listed this long after all tasks of its unit have started has outlived
 # its start, and a later crash of the server does not count against it.
--- a/src/cardamomdyke/planner/drafts.py
+++ b/src/cardamomdyke/planner/drafts.py
@@ -17,7 +17,8 @@
     copy_capacity,
     take_capacity,
 )
-from cardamomdyke.scheduling.preemption import Requester, Victim, VictimIndex
+from cardamomdyke.scheduling.preemption import Requester
+from cardamomdyke.scheduling.victims import Victim, VictimIndex
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cardamomdyke/planner/expiry.py
+++ b/src/cardamomdyke/planner/expiry.py
@@ -4,15 +4,9 @@
 from cardamomdyke.planner.attempts import end_member, send_stop
 from cardamomdyke.planner.crashes import remember_lapsed_run
 from cardamomdyke.planner.leases import find_inherited_expiry, find_lease_expiry
-from cardamomdyke.planner.state import (
-    Job,
-    Member,
-    MemberPhase,
-    PlannerState,
-    Server,
-    Unit,
-    list_holders,
-)
+from cardamomdyke.planner.members import Member, MemberPhase
+from cardamomdyke.planner.servers import Server
+from cardamomdyke.planner.state import Job, PlannerState, Unit, list_holders
 from cardamomdyke.planner.unsettled import (
     STOP_RETRY_WAIT_SECONDS,
     find_arrival,
--- a/src/cardamomdyke/planner/forecasts.py
+++ b/src/cardamomdyke/planner/forecasts.py
@@ -9,12 +9,8 @@
 from cardamomdyke.planner.pending import PendingReason
 from cardamomdyke.planner.placement import is_in_service
 from cardamomdyke.planner.preemption import may_preempt
-from cardamomdyke.planner.state import (
-    URGENT_PRIORITY,
-    PlannerState,
-    Server,
-    list_holders,
-)
+from cardamomdyke.planner.servers import Server
+from cardamomdyke.planner.state import URGENT_PRIORITY, PlannerState, list_holders
 from cardamomdyke.planner.summaries import SUMMARY_PREFIX, encode_summary
 from cardamomdyke.scheduling.admission import ExpectedWait, PoolSummary
 from cardamomdyke.scheduling.forecast import (
--- a/src/cardamomdyke/planner/isolation.py
+++ b/src/cardamomdyke/planner/isolation.py
@@ -15,10 +15,10 @@
     find_spread_step,
     may_use_suspended,
 )
+from cardamomdyke.planner.servers import Server
 from cardamomdyke.planner.state import (
     Job,
     PlannerState,
-    Server,
     Unit,
     list_holders,
     list_indices,
--- a/src/cardamomdyke/planner/looks.py
+++ b/src/cardamomdyke/planner/looks.py
@@ -7,14 +7,10 @@
 from cardamomdyke.model.servers import RunLists
 from cardamomdyke.planner.actions import SendStart
 from cardamomdyke.planner.crashes import was_missing
+from cardamomdyke.planner.members import Member, MemberPhase
 from cardamomdyke.planner.polls import confirm_member
 from cardamomdyke.planner.replies import START_TIMEOUT_SECONDS
-from cardamomdyke.planner.state import (
-    Member,
-    MemberPhase,
-    PlannerState,
-    list_holders,
-)
+from cardamomdyke.planner.state import PlannerState, list_holders
 
 # A start is answered within a few milliseconds; each look has a cost.
 LOOK_PERIOD_SECONDS = 0.06
--- a/src/cardamomdyke/planner/observations.py
+++ b/src/cardamomdyke/planner/observations.py
@@ -6,14 +6,9 @@
 
 from cardamomdyke.jobs.records import GANG_INDEX
 from cardamomdyke.model.servers import ServerEntry
-from cardamomdyke.planner.state import (
-    Attempt,
-    Job,
-    Member,
-    PlannerState,
-    Server,
-    Unit,
-)
+from cardamomdyke.planner.members import Member
+from cardamomdyke.planner.servers import Server
+from cardamomdyke.planner.state import Attempt, Job, PlannerState, Unit
 from cardamomdyke.scheduling.speeds import MAX_TASKS, SpeedBook
 
 # The time of a start is known within the time that its answer takes. A run counts if
--- a/src/cardamomdyke/planner/pending.py
+++ b/src/cardamomdyke/planner/pending.py
@@ -4,13 +4,8 @@
 from enum import StrEnum
 
 from cardamomdyke.planner.drafts import Draft, find_pool_capacity
-from cardamomdyke.planner.state import (
-    Job,
-    MemberPhase,
-    PlannerState,
-    Unit,
-    list_indices,
-)
+from cardamomdyke.planner.members import MemberPhase
+from cardamomdyke.planner.state import Job, PlannerState, Unit, list_indices
 from cardamomdyke.scheduling.placement import count_fits
 
 # The platform counts work as lost that waits 3 s while its pool has capacity.
--- a/src/cardamomdyke/planner/placement.py
+++ b/src/cardamomdyke/planner/placement.py
@@ -2,7 +2,8 @@
 
 from cardamomdyke.planner.crashes import find_watched_servers
 from cardamomdyke.planner.polls import measure_free_capacity
-from cardamomdyke.planner.state import PlannerState, Server
+from cardamomdyke.planner.servers import Server
+from cardamomdyke.planner.state import PlannerState
 from cardamomdyke.scheduling.placement import PoolCapacity, ServerCapacity
 
 # Checks outside this repository import it from here.
--- a/src/cardamomdyke/planner/polls.py
+++ b/src/cardamomdyke/planner/polls.py
@@ -29,15 +29,14 @@
 )
 from cardamomdyke.planner.expiry import note_lost_run, release_members
 from cardamomdyke.planner.leases import ClockReading, estimate_clock
+from cardamomdyke.planner.members import Member, MemberPhase
 from cardamomdyke.planner.observations import forget_server, observe_end
 from cardamomdyke.planner.rates import observe_progress
 from cardamomdyke.planner.reports import keep_checkpoint, keep_report
+from cardamomdyke.planner.servers import Server
 from cardamomdyke.planner.state import (
     Job,
-    Member,
-    MemberPhase,
     PlannerState,
-    Server,
     Unit,
     find_earlier_expiry,
     find_unit,
--- a/src/cardamomdyke/planner/preemption.py
+++ b/src/cardamomdyke/planner/preemption.py
@@ -2,10 +2,12 @@
 
 from cardamomdyke.model.orders import StepOrder
 from cardamomdyke.planner.endings import may_await_end
-from cardamomdyke.planner.state import Attempt, Job, MemberPhase, PlannerState, Unit
+from cardamomdyke.planner.members import MemberPhase
+from cardamomdyke.planner.state import Attempt, Job, PlannerState, Unit
 from cardamomdyke.scheduling.cores import measure_cores
 from cardamomdyke.scheduling.losses import StopTimes, count_repeats, estimate_loss
-from cardamomdyke.scheduling.preemption import Requester, Victim, VictimIndex
+from cardamomdyke.scheduling.preemption import Requester
+from cardamomdyke.scheduling.victims import Victim, VictimIndex
 
 # Exceeds the cost of any other stop, so that long-running tasks are preempted last.
 LONG_RUNNING_COST_CORE_SECONDS = 1e6
--- a/src/cardamomdyke/planner/progress.py
+++ b/src/cardamomdyke/planner/progress.py
@@ -20,15 +20,14 @@
 from cardamomdyke.planner.crashes import list_suspect_indices
 from cardamomdyke.planner.headroom import record_arrival
 from cardamomdyke.planner.inputs import UnitKey
+from cardamomdyke.planner.members import Member, MemberPhase
 from cardamomdyke.planner.occurrences import open_next, open_occurrences
+from cardamomdyke.planner.servers import Server
 from cardamomdyke.planner.shares import check_share
 from cardamomdyke.planner.state import (
     Attempt,
     Job,
-    Member,
-    MemberPhase,
     PlannerState,
-    Server,
     Unit,
     find_earlier_expiry,
 )
--- a/src/cardamomdyke/planner/quotas.py
+++ b/src/cardamomdyke/planner/quotas.py
@@ -6,7 +6,8 @@
 from cardamomdyke.model.orders import Shape
 from cardamomdyke.model.queues import Account
 from cardamomdyke.planner.endings import may_await_end
-from cardamomdyke.planner.state import Job, Member, MemberPhase, PlannerState, Unit
+from cardamomdyke.planner.members import Member, MemberPhase
+from cardamomdyke.planner.state import Job, PlannerState, Unit
 
 
 @dataclass(slots=True)
--- a/src/cardamomdyke/planner/rates.py
+++ b/src/cardamomdyke/planner/rates.py
@@ -7,8 +7,10 @@
 from functools import partial
 
 from cardamomdyke.model.servers import RunReport
+from cardamomdyke.planner.members import Member
 from cardamomdyke.planner.observations import BY_PROGRESS, is_warm, note_speed
-from cardamomdyke.planner.state import Attempt, Job, Member, PlannerState, Server, Unit
+from cardamomdyke.planner.servers import Server
+from cardamomdyke.planner.state import Attempt, Job, PlannerState, Unit
 from cardamomdyke.scheduling.progress import ProgressReport
 from cardamomdyke.scheduling.speeds import MIN_OTHERS
 
--- a/src/cardamomdyke/planner/recording.py
+++ b/src/cardamomdyke/planner/recording.py
@@ -23,14 +23,9 @@
     RefusedProgress,
     SetAside,
 )
+from cardamomdyke.planner.members import MemberPhase
 from cardamomdyke.planner.progress import NO_STARTS, make_progress
-from cardamomdyke.planner.state import (
-    Attempt,
-    Job,
-    MemberPhase,
-    PlannerState,
-    Unit,
-)
+from cardamomdyke.planner.state import Attempt, Job, PlannerState, Unit
 from cardamomdyke.planner.unsettled import list_start_records
 
 # Progress that the store has refused is tried again after this time, since new settings
--- a/src/cardamomdyke/planner/replies.py
+++ b/src/cardamomdyke/planner/replies.py
@@ -5,16 +5,10 @@
 from cardamomdyke.planner.actions import SendStart
 from cardamomdyke.planner.attempts import abort_attempt, end_member, stop_member
 from cardamomdyke.planner.leases import estimate_clock
+from cardamomdyke.planner.members import Member, MemberPhase
 from cardamomdyke.planner.polls import confirm_member, find_member
-from cardamomdyke.planner.state import (
-    Job,
-    Member,
-    MemberPhase,
-    PlannerState,
-    Server,
-    Unit,
-    list_holders,
-)
+from cardamomdyke.planner.servers import Server
+from cardamomdyke.planner.state import Job, PlannerState, Unit, list_holders
 from cardamomdyke.planner.unsettled import (
     confirm_stop,
     find_start,
--- a/src/cardamomdyke/planner/silences.py
+++ b/src/cardamomdyke/planner/silences.py
@@ -13,7 +13,8 @@
 
 from cardamomdyke.jobs.layout import Entry
 from cardamomdyke.planner.inputs import Silence
-from cardamomdyke.planner.state import PlannerState, Server
+from cardamomdyke.planner.servers import Server
+from cardamomdyke.planner.state import PlannerState
 
 SILENCE_PREFIX = "s"
 # Origin, fencing token of the planner, and age in milliseconds.
--- a/src/cardamomdyke/planner/suspicion.py
+++ b/src/cardamomdyke/planner/suspicion.py
@@ -1,6 +1,7 @@
 """Suspension of servers that fail every run, not of those that run failing jobs."""
 
-from cardamomdyke.planner.state import Job, PlannerState, Server, Unit
+from cardamomdyke.planner.servers import Server
+from cardamomdyke.planner.state import Job, PlannerState, Unit
 
 # After a failed run a server gets only work that fits nowhere else, until a run is done
 # there or this time has passed. The users' servers stay faulty for about 7 s.
--- a/src/cardamomdyke/planner/unsettled.py
+++ b/src/cardamomdyke/planner/unsettled.py
@@ -10,16 +10,9 @@
 from cardamomdyke.planner.actions import SendStop
 from cardamomdyke.planner.inputs import UnitKey, UnsettledStart
 from cardamomdyke.planner.leases import find_inherited_expiry
-from cardamomdyke.planner.state import (
-    Attempt,
-    Job,
-    Member,
-    MemberPhase,
-    PlannerState,
-    Server,
-    Unit,
-    find_unit,
-)
+from cardamomdyke.planner.members import Member, MemberPhase
+from cardamomdyke.planner.servers import Server
+from cardamomdyke.planner.state import Attempt, Job, PlannerState, Unit, find_unit
 
 # The platform's servers carry out an order without an answer up to 12 s later. The rest
 # covers their clocks, which may be 2% slow.
--- a/tests/planner/test_late_orders.py
+++ b/tests/planner/test_late_orders.py
@@ -5,9 +5,9 @@
 from cardamomdyke.model.orders import TaskId
 from cardamomdyke.model.servers import RunLists
 from cardamomdyke.planner.actions import PollOrder, SendStop
+from cardamomdyke.planner.members import MemberPhase
 from cardamomdyke.planner.polls import handle_poll_answer
 from cardamomdyke.planner.replies import grant_start_lease
-from cardamomdyke.planner.state import MemberPhase
 from cardamomdyke_standins.platform_server import PlatformServer, StepPlan
 from tests.planner.test_planner import JOB, make_step, make_world
 from tests.planner.world import Fault, World
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -9,7 +9,8 @@
     ServerCapacity,
     choose_servers,
 )
-from cardamomdyke.scheduling.preemption import Victim, VictimIndex, find_preemption
+from cardamomdyke.scheduling.preemption import find_preemption
+from cardamomdyke.scheduling.victims import Victim, VictimIndex
 
 TOTAL = Shape(64_000, 128_000, 8)
 TASK = Shape(1000, 100, 1)
--- a/tests/scheduling/test_preemption.py
+++ b/tests/scheduling/test_preemption.py
@@ -13,12 +13,8 @@
     count_fits,
     take_capacity,
 )
-from cardamomdyke.scheduling.preemption import (
-    Preemption,
-    Victim,
-    VictimIndex,
-    find_preemption,
-)
+from cardamomdyke.scheduling.preemption import Preemption, find_preemption
+from cardamomdyke.scheduling.victims import Victim, VictimIndex
 
 TOTAL = Shape(128_000, 256_000, 8)
 MAX_TASKS = 4
