Keep the phase of a body that follows an interim reply

A client that sends "Expect: 100-continue" got the interim reply, and its body counted as an answer that is not read: a body that took over 5 s would have been dropped at any rate. The interim reply no longer changes the phase.

Ran: tests/limits/test_guarded_server.py and tests/protocol: 23 passed; the new test fails without the change.

--- a/src/cardamomdyke/protocol/connections.py
+++ b/src/cardamomdyke/protocol/connections.py
@@ -45,6 +45,8 @@
 FREE_CHUNKS = 64
 CHUNK_MEAN_BYTES = 64
 ARGUMENT_SEPARATOR = "&"
+# Sent to a client that waits with its body.
+INTERIM_REPLY = b"HTTP/1.1 100"
 # Ports without bodies accept no longer ones.
 SMALL_BODY_BYTES = 1024
 
@@ -180,7 +182,8 @@
         """Send a part of an answer."""
         if data and not self.closed():
             self.is_busy = True
-            self.guard.begin_answer(self.holding, len(data))
+            is_interim = bytes(data[: len(INTERIM_REPLY)]) == INTERIM_REPLY
+            self.guard.begin_answer(self.holding, len(data), is_interim)
             self.is_busy = False
         return super().write(data)
 
--- a/src/cardamomdyke/protocol/guard.py
+++ b/src/cardamomdyke/protocol/guard.py
@@ -142,10 +142,12 @@
         """Note that a request is complete and will be served."""
         holding.enter(Phase.SERVED, self.clock())
 
-    def begin_answer(self, holding: Holding, count: int) -> None:
-        """Account for an answer that is being written."""
+    def begin_answer(
+        self, holding: Holding, count: int, is_interim: bool = False
+    ) -> None:
+        """Account for an answer that is being written; the body follows an interim."""
         now = self.clock()
-        if holding.phase is not Phase.ANSWER:
+        if not is_interim and holding.phase is not Phase.ANSWER:
             holding.enter(Phase.ANSWER, now)
         self.drop(self.budget.hold(holding, count, now))
 
--- a/tests/limits/test_guarded_server.py
+++ b/tests/limits/test_guarded_server.py
@@ -9,7 +9,7 @@
 
 from cardamomdyke.protocol import connections
 from cardamomdyke.protocol.bodies import BodyHandler
-from cardamomdyke.protocol.budget import CONNECTION_BYTES
+from cardamomdyke.protocol.budget import CONNECTION_BYTES, Phase
 from cardamomdyke.protocol.connections import CallerStream, start_caller_server
 from cardamomdyke.protocol.guard import InputGuard, make_guard
 from cardamomdyke.protocol.limits import (
@@ -156,6 +156,21 @@
     talk_to_server(talk)
 
 
+def test_body_after_an_interim_reply_is_read() -> None:
+    """Guards against a slow body that counts as an answer which is not read."""
+
+    async def talk(open_connection: Open, guard: InputGuard) -> None:
+        reader, writer = await open_connection()
+        writer.write(HEAD + b"Expect: 100-continue\r\nContent-Length: 5\r\n\r\n")
+        assert b" 100 " in await reader.readuntil(b"\r\n\r\n")
+        (holding,) = guard.budget.holdings
+        assert holding.phase is Phase.BODY
+        writer.write(b"hello")
+        assert await read_reply(reader) == b"hello"
+
+    talk_to_server(talk)
+
+
 def test_dropped_body_is_released_at_once() -> None:
     """Guards against bodies of many dropped connections in one pass of the loop."""
 
