Check a configuration before it is published

Cause: operators learn of errors and contradictions in a configuration only after they have published it. Change: 'cardamomdyke check' decodes the tables as daemons do and reports refusals with their place, rows and limits without effect, and what differs from a former version. Exit status 0, 1 for findings, 2 for unreadable input.

Ran tests/cli/test_check.py, tests/cli/test_command_line.py and tests/platform/test_malformed.py: passed. tests/cli/test_pages.py:: test_every_counter_is_on_the_page fails with and without this change.

--- a/src/cardamomdyke/cli/commands.py
+++ b/src/cardamomdyke/cli/commands.py
@@ -87,11 +87,31 @@
     asyncio.run(run_node(result.ok, path, int(port), requests.ok))
 
 
-def fail_command(kind: ProblemKind, message: str) -> NoReturn:
-    """Print a problem, and exit with the code of its kind."""
+@SetParseFn(str)  # type: ignore[untyped-decorator]
+def run_check_command(*files: str, **flags: str) -> None:
+    """Check a configuration before it is published, without a VM.
+
+    Name a file, or send the configuration to standard input. --tables=product checks
+    the product's own tables instead of the platform's. --former=FILE names the version
+    in force and adds what changes in it. --accelerators=POOL:N,POOL:N states the
+    accelerators of all servers of a pool; only then are services without servers and
+    guarantees over the pools found. --format=json prints JSON.
+
+    Exit codes: 0 no findings, 1 findings, 2 a file or flag that cannot be read.
+    """
+    from cardamomdyke.cli.check import run_check
+
+    if "help" in flags:
+        print(run_check_command.__doc__)
+        return
+    sys.exit(run_check(files, flags))
+
+
+def fail_command(kind: ProblemKind, message: str, code: int = EXIT_FAILED) -> NoReturn:
+    """Print a problem and exit, with `code` unless the command itself is bad."""
     problem = make_problem(kind, message)
     print(f"{problem.kind}: {problem.message}; {problem.remedy}", file=sys.stderr)
-    sys.exit(EXIT_BAD_COMMAND if kind is ProblemKind.BAD_COMMAND else EXIT_FAILED)
+    sys.exit(EXIT_BAD_COMMAND if kind is ProblemKind.BAD_COMMAND else code)
 
 
 def find_component(arguments: list[str]) -> Any:
@@ -100,6 +120,8 @@
         return {"daemon": run_daemon_command}
     if arguments[:1] == ["node"]:
         return {"node": run_node_command}
+    if arguments[:1] == ["check"]:
+        return {"check": run_check_command}
     from cardamomdyke.cli.client import Client
 
     return Client
@@ -124,7 +146,9 @@
     except Exception as error:
         if arguments[:1] in (["daemon"], ["node"]):
             raise
-        fail_command(ProblemKind.INTERNAL, f"{type(error).__name__}: {error}")
+        # For a check, 1 means findings.
+        code = EXIT_BAD_COMMAND if arguments[:1] == ["check"] else EXIT_FAILED
+        fail_command(ProblemKind.INTERNAL, f"{type(error).__name__}: {error}", code)
 
 
 if __name__ == "__main__":
--- a/src/cardamomdyke/platform/tables.py
+++ b/src/cardamomdyke/platform/tables.py
@@ -1,7 +1,9 @@
 """Decodes configurations and evacuations that the platform's operators publish."""
 
+from typing import Any
+
 from expression import Error, Ok, Result
-from msgspec import Struct, field
+from msgspec import Struct, field, to_builtins
 from msgspec.json import Decoder
 
 from cardamomdyke.model.errors import DECODE_ERRORS
@@ -124,6 +126,26 @@
     )
 
 
+def decode_rows(data: bytes) -> Result[dict[str, Any], str]:
+    """Decode the fields of the operator's configuration that daemons read.
+
+    Parameters
+    ----------
+    data : bytes
+        Value of the key `TABLES_KEY`.
+
+    Returns
+    -------
+    Result of dict or str
+        The JSON object without ignored fields and with defaults for missing ones, or
+        why it cannot be decoded, as `decode_tables` reports it.
+    """
+    try:
+        return Ok(to_builtins(_DECODER.decode(data)))
+    except DECODE_ERRORS as error:
+        return Error(str(error))
+
+
 def _convert_route(wire: _Route) -> QueueRoute:
     return QueueRoute(
         name=wire.name,
