Refuse server sizes with which guarantees cannot be checked

Cause: the validation of the product's tables raised an exception, or used up the memory, for a backend server with a negative or huge number of accelerators; it runs in the daemon for each edit. Change: such numbers are faults of the tables, and the cells are assigned only without them. The check of a version that is not higher is the daemon's own function.

--- a/src/cardamomdyke/configuration/findings.py
+++ b/src/cardamomdyke/configuration/findings.py
@@ -9,7 +9,7 @@
 from enum import StrEnum
 from typing import Any
 
-from cardamomdyke.model.queues import QueueRoute, QueueTables
+from cardamomdyke.model.queues import QueueRoute, QueueTables, is_superseded
 
 # The decoder ends its messages with one of these.
 PLACE_PATTERN = re.compile(r" - at `(?P<path>.*)`$|\((?P<byte>byte \d+)\)$", re.S)
@@ -312,7 +312,7 @@
 
 def check_version(tables: QueueTables, former: QueueTables) -> Iterator[Finding]:
     """Yield a finding if daemons with the former version would keep it."""
-    if tables.version <= former.version:
+    if not is_superseded(former, tables):
         yield Finding(
             FindingKind.VERSION_NOT_HIGHER,
             "$.version",
--- a/src/cardamomdyke/configuration/validation.py
+++ b/src/cardamomdyke/configuration/validation.py
@@ -6,6 +6,11 @@
 from cardamomdyke.model.tables import Tables
 from cardamomdyke.placement.guarantees import find_missing_guarantees
 
+# Accelerators of a server are held as a bit mask, and the guaranteed cells are assigned
+# one by one, so larger numbers would use up the memory of the daemon.
+MAX_SERVER_ACCELERATORS = 1024
+MAX_GUARANTEED_CELLS = 1_000_000
+
 
 def find_table_faults(tables: Tables) -> list[str]:
     """Describe the faults that make the tables invalid.
@@ -20,6 +25,7 @@
     list of str
         One message per fault; empty for valid tables.
     """
+    number_faults = list(find_number_faults(tables))
     return [
         *find_duplicates("failure domain", (d.name for d in tables.failure_domains)),
         *find_duplicates("pool", (pool.name for pool in tables.pools)),
@@ -30,7 +36,14 @@
             "route", (f"{r.client_account}/{r.service}" for r in tables.routes)
         ),
         *find_dangling_references(tables),
-        *(fault for pool in tables.pools for fault in find_missing_guarantees(pool)),
+        *number_faults,
+        # Cells cannot be assigned to servers whose numbers are invalid.
+        *(
+            fault
+            for pool in tables.pools
+            if not number_faults
+            for fault in find_missing_guarantees(pool)
+        ),
     ]
 
 
@@ -62,3 +75,20 @@
                 yield f"{row} names the unknown pool {name!r}"
             elif pools[name].service != route.service:
                 yield f"{row} names pool {name!r} of service {pools[name].service!r}"
+
+
+def find_number_faults(tables: Tables) -> Iterator[str]:
+    """Yield one message per number with which guarantees cannot be checked."""
+    for pool in tables.pools:
+        for server in pool.servers:
+            if not 0 <= server.accelerators <= MAX_SERVER_ACCELERATORS:
+                yield (
+                    f"backend server {server.name!r} has {server.accelerators} "
+                    f"accelerators; use 0 to {MAX_SERVER_ACCELERATORS}"
+                )
+        for row in pool.guarantees:
+            if max(row.count, row.accelerators) > MAX_GUARANTEED_CELLS:
+                yield (
+                    f"guarantee of {row.client_account!r} in pool {pool.name!r} has "
+                    f"a number over {MAX_GUARANTEED_CELLS}"
+                )
--- a/src/cardamomdyke/control/context.py
+++ b/src/cardamomdyke/control/context.py
@@ -14,7 +14,7 @@
 from cardamomdyke.jobs.ledger import Ledger
 from cardamomdyke.jobs.retention import Retention
 from cardamomdyke.membership.peers import Peer
-from cardamomdyke.model.queues import QueueTables
+from cardamomdyke.model.queues import QueueTables, is_superseded
 from cardamomdyke.model.servers import ServerEntry
 from cardamomdyke.planner.silences import SilenceLedger
 from cardamomdyke.platform.records import KeyedRecord
@@ -82,7 +82,7 @@
             self.journal.write("tables.malformed", TABLES_KEY, detail=result.error)
             return
         tables = result.ok
-        if self.tables is not None and tables.version <= self.tables.version:
+        if self.tables is not None and not is_superseded(self.tables, tables):
             return
         previous_version = None if self.tables is None else self.tables.version
         self.tables = tables
--- a/src/cardamomdyke/model/queues.py
+++ b/src/cardamomdyke/model/queues.py
@@ -156,6 +156,11 @@
     )
 
 
+def is_superseded(former: QueueTables, tables: QueueTables) -> bool:
+    """Return whether daemons with a former version put another one in force."""
+    return tables.version > former.version
+
+
 def find_route(tables: QueueTables, host: str, path: str) -> QueueRoute | None:
     """Return the host's route with the longest prefix of the path, or None."""
     matches = (
