Move work off servers that leave at short notice

Cause: the notice was used for the length of leases only; runs stayed until their server left, and nobody reports these ends. Change: an attempt that needs longer than the server stays is stopped at the notice; its confirmed end lets it start elsewhere at once.

--- a/src/cardamomdyke/planner/planning.py
+++ b/src/cardamomdyke/planner/planning.py
@@ -17,6 +17,7 @@
     release_reservation,
 )
 from cardamomdyke.planner.crashes import is_suspect
+from cardamomdyke.planner.departures import move_departing
 from cardamomdyke.planner.drafts import (
     Draft,
     find_headroom,
@@ -74,6 +75,7 @@
         Steady-clock seconds.
     """
     update_occurrences(state, now)
+    move_departing(state, now)
     review_progress(state, now)
     draft = Draft(state, now)
     waiting = [job for job in state.jobs.values() if not job.is_final]
--- a/src/cardamomdyke/planner/polls.py
+++ b/src/cardamomdyke/planner/polls.py
@@ -27,6 +27,7 @@
     resolve_lapsed_runs,
     was_missing,
 )
+from cardamomdyke.planner.departures import note_departure
 from cardamomdyke.planner.expiry import note_lost_run, release_members
 from cardamomdyke.planner.leases import ClockReading, estimate_clock
 from cardamomdyke.planner.members import Member, MemberPhase
@@ -97,6 +98,7 @@
         forget_server(state, server.entry, entry)
         server.entry = entry
         server.listed = True
+        note_departure(server, now)
     for name, server in list(state.servers.items()):
         if name in listed:
             continue
--- a/src/cardamomdyke/planner/servers.py
+++ b/src/cardamomdyke/planner/servers.py
@@ -60,6 +60,8 @@
         Time until which it gets only units that fit nowhere else.
     suspended_until : float
         Time until which it gets no units.
+    leaves_at : float
+        When it leaves at the earliest, if at short notice; else 0.
     """
 
     entry: ServerEntry
@@ -82,6 +84,7 @@
     suspensions: int = 0
     suspect_until: float = 0.0
     suspended_until: float = 0.0
+    leaves_at: float = 0.0
 
     @property
     def acknowledged(self) -> int:
--- a/tests/planner/world.py
+++ b/tests/planner/world.py
@@ -187,7 +187,9 @@
         self.list_server(name)
         return server
 
-    def list_server(self, name: str, draining: bool = False) -> None:
+    def list_server(
+        self, name: str, draining: bool = False, notice: float | None = None
+    ) -> None:
         server = self.cluster.servers[name]
         server.draining = draining
         self.listed[name] = ServerEntry(
@@ -199,6 +201,7 @@
             ("a", server.rack),
             server.instance,
             draining,
+            notice,
         )
 
     def set_capacity(self, name: str, accelerators: int) -> None:
