Use the slack of the ranking for the choice between slow and usual servers

Cause: planner/slack.py worked out objectives and remaining times a second time, by other rules than the order of a planning pass.

--- a/src/cardamomdyke/planner/seeking.py
+++ b/src/cardamomdyke/planner/seeking.py
@@ -32,7 +32,7 @@
     count = len(list_indices(step, unit))
     rack_capacity = filter_data_rack(pool_capacity, step)
     waited = draft.now - unit.ready_since if unit.ready_since else 0.0
-    prefers_usual = prefers_usual_servers(draft.state, job, unit, draft.now)
+    prefers_usual = prefers_usual_servers(draft, job, unit)
     if rack_capacity.by_name:
         found = choose_servers(
             rack_capacity, step, count, placed, unit.avoided_servers, prefers_usual
--- a/src/cardamomdyke/scheduling/ordering.py
+++ b/src/cardamomdyke/scheduling/ordering.py
@@ -125,11 +125,15 @@
     ahead_of : str
         Oldest job of its pool, priority and share that arrived earlier, waits, and
         ranks after it; empty for none.
+    slack_seconds : float or None
+        Time by which its start can be delayed within its objective, negative for a
+        late one; None if it states none.
     """
 
     job_id: str
     standing: Standing
     ahead_of: str = ""
+    slack_seconds: float | None = None
 
 
 @dataclass(slots=True)
@@ -205,13 +209,21 @@
         ahead_of = ""
         if later is not None and later.arrived_at < job.arrived_at:
             ahead_of = later.job_id
-        ranks.append(Rank(job.job_id, standing, ahead_of))
+        slack = find_slack(job, now)
+        ranks.append(Rank(job.job_id, standing, ahead_of, slack))
         if job.is_ready and (later is None or job.arrived_at <= later.arrived_at):
             oldest[job.group] = job
     ranks.reverse()
     return ranks
 
 
+def find_slack(job: WaitingJob, now: float) -> float | None:
+    """Return by how much the start of a job's remaining work can be delayed."""
+    if job.objective is None:
+        return None
+    return job.objective.due_at - now - job.remaining_seconds
+
+
 def make_groups(jobs: Iterable[WaitingJob]) -> dict[GroupKey, Group]:
     """Return the groups of some jobs, without their cores."""
     groups: dict[GroupKey, Group] = {}
--- a/tests/planner/test_speeds.py
+++ b/tests/planner/test_speeds.py
@@ -7,6 +7,8 @@
 from cardamomdyke.jobs.records import JobPhase
 from cardamomdyke.model.orders import JobOrder, Shape, StepOrder, TaskId
 from cardamomdyke.model.queues import Account
+from cardamomdyke.planner.drafts import Draft
+from cardamomdyke.planner.ordering import rank_jobs
 from cardamomdyke.planner.slack import prefers_usual_servers
 from cardamomdyke.planner.state import Job, PlannerState, make_units
 from cardamomdyke_standins.platform_server import StepPlan
@@ -149,13 +151,16 @@
     step = StepOrder(1, Shape(1000, 100, 1), 8.0)
     later = replace(step, after=(0,))
     job = make_job(step, 2)
-    record = replace(job.record, order=JobOrder("", (step, later)))
+    record = replace(
+        job.record, order=JobOrder("", (step, later)), accepted_at=state.unix_offset
+    )
     units = make_units(record, 0)
     chain = Job(record, 0.0, units)
     unit = units[0, 0, 0]
 
     def prefers(now: float) -> bool:
-        return prefers_usual_servers(state, chain, unit, now)
+        ranks = rank_jobs(state, [chain], now, state.learning.estimate_seconds)
+        return prefers_usual_servers(Draft(state, now, ranks=ranks), chain, unit)
 
     # Due at 3 times 16 s and 1 s; 16 s remain, and a slow server takes 4 s more.
     assert [prefers(now) for now in (0.0, 28.0, 30.0, 32.0, 34.0)] == [
@@ -165,4 +170,4 @@
         True,
         False,
     ]
-    assert prefers_usual_servers(state, make_job(step, 0), unit, 0.0)
+    assert prefers_usual_servers(Draft(state, 0.0), make_job(step, 0), unit)
--- a/tests/scheduling/test_ordering.py
+++ b/tests/scheduling/test_ordering.py
@@ -225,5 +225,5 @@
         make_job("new", 0.0, objective=5.0),
     ]
     ranks = rank_waiting(jobs, NOW)
-    assert ranks[0] == Rank("new", Standing.IN_TIME, "old")
+    assert ranks[0] == Rank("new", Standing.IN_TIME, "old", 1.0)
     assert [rank.ahead_of for rank in ranks[1:]] == ["", ""]
