Name the decay of slack and the standing of long-running jobs by their terms

Cause: a constant and a standing had private names. Change: names only; the value of the standing in unit.placed and in cardamomdyke_starts_total is long_running. tests/scheduling/test_ordering.py and tests/planner/test_order.py pass.

--- a/src/cardamomdyke/scheduling/ordering.py
+++ b/src/cardamomdyke/scheduling/ordering.py
@@ -20,7 +20,7 @@
 
 # Slack, in remaining run times, by which the weight of a job falls to 1/e. A job with
 # more slack can be placed later without a loss.
-PATIENCE = 0.5
+SLACK_DECAY = 0.5
 # Bounds the logarithms of work and value.
 MIN_CORE_SECONDS = 1e-6
 MIN_VALUE = 1e-6
@@ -36,7 +36,7 @@
 
     Attributes
     ----------
-    LASTING
+    LONG_RUNNING
         It runs until it is cancelled, so its start is all that its caller waits for.
     AGED
         It has waited for twice its objective.
@@ -52,7 +52,7 @@
         No job of its pool, priority and share states an objective.
     """
 
-    LASTING = "lasting"
+    LONG_RUNNING = "long_running"
     AGED = "aged"
     IN_TIME = "in_time"
     LATE = "late"
@@ -142,7 +142,7 @@
 
     Attributes
     ----------
-    patience : float
+    default_seconds : float
         Longest objective that a job of it states, in seconds; 0 if none does. It
         counts for a job that states none.
     running_cores : float
@@ -151,7 +151,7 @@
         The same of its jobs that have waited for twice their objectives.
     """
 
-    patience: float = 0.0
+    default_seconds: float = 0.0
     running_cores: float = 0.0
     aged_cores: float = 0.0
 
@@ -187,10 +187,10 @@
     weighed = []
     for job in listed:
         group = groups[job.group]
-        standing, cost = weigh_job(job, group.patience, now)
+        standing, cost = weigh_job(job, group.default_seconds, now)
         if standing is Standing.AGED:
             group.aged_cores += job.running_cores
-        if standing is not Standing.LASTING:
+        if standing is not Standing.LONG_RUNNING:
             group.running_cores += job.running_cores
         weighed.append((job, standing, cost))
     ranked = []
@@ -230,7 +230,7 @@
     for job in jobs:
         group = groups.setdefault(job.group, Group())
         if job.objective is not None:
-            group.patience = max(group.patience, job.objective.seconds)
+            group.default_seconds = max(group.default_seconds, job.objective.seconds)
     return groups
 
 
@@ -243,14 +243,16 @@
     )
 
 
-def weigh_job(job: WaitingJob, patience: float, now: float) -> tuple[Standing, float]:
+def weigh_job(
+    job: WaitingJob, default_seconds: float, now: float
+) -> tuple[Standing, float]:
     """Return what decides a job's place, and its place among jobs of that standing.
 
     Parameters
     ----------
     job : WaitingJob
         The job.
-    patience : float
+    default_seconds : float
         Longest objective of the job's group, in seconds, which counts for a job that
         states none; 0 if no job of it states one.
     now : float
@@ -261,9 +263,11 @@
     tuple of (Standing, float)
         Of one standing, the job with the lowest number comes first.
     """
-    if job.long_running and patience:
-        return Standing.LASTING, job.arrived_at
-    objective = job.objective or make_objective(job.arrived_at, 0.0, patience, 0.0)
+    if job.long_running and default_seconds:
+        return Standing.LONG_RUNNING, job.arrived_at
+    objective = job.objective or make_objective(
+        job.arrived_at, 0.0, default_seconds, 0.0
+    )
     if objective is None:
         return Standing.ARRIVAL, job.arrived_at
     if now >= objective.ages_at:
@@ -279,5 +283,5 @@
     value = max(MIN_VALUE, estimate_value(objective, run_seconds, now))
     slack = max(0.0, needed_at - now - run_seconds)
     work = max(MIN_CORE_SECONDS, job.remaining_core_seconds)
-    cost = log(work) - log(value) + slack / (PATIENCE * run_seconds)
+    cost = log(work) - log(value) + slack / (SLACK_DECAY * run_seconds)
     return standing, cost
