--- a/src/cardamomdyke_standins/platform_server.py
+++ b/src/cardamomdyke_standins/platform_server.py
@@ -92,6 +92,8 @@
         Work that its checkpoint contains, in seconds.
     stops_at : float or None
         Time at which a stop takes effect; None without one.
+    saves_at_stop : bool
+        True once a stop has ended it, which saves all of its work.
     """
 
     task: TaskId
@@ -103,6 +105,7 @@
     working_since: float | None = None
     saved_work: float = 0.0
     stops_at: float | None = None
+    saves_at_stop: bool = False
 
     def measure_work(self, now: float) -> float:
         """Return the work done so far, in seconds."""
@@ -282,7 +285,7 @@
         )
         return running, tuple(self.ended)
 
-    def find_checkpoint(self, item: Run, now: float, at_stop: bool = False) -> str:
+    def find_checkpoint(self, item: Run, now: float) -> str:
         """Return the newest checkpoint of a run; empty without one.
 
         One is saved after each period of work and at a stop.
@@ -290,7 +293,7 @@
         if not item.plan.saves:
             return ""
         saved = item.measure_work(now)
-        if not at_stop:
+        if not item.saves_at_stop:
             saved = saved // CHECKPOINT_PERIOD_SECONDS * CHECKPOINT_PERIOD_SECONDS
         if saved <= 0:
             return ""
@@ -299,7 +302,8 @@
 
     def end_run(self, item: Run, kind: EndKind, now: float) -> None:
         """End a run and the other members of its gang."""
-        checkpoint = self.find_checkpoint(item, now, kind is EndKind.STOPPED)
+        item.saves_at_stop = kind is EndKind.STOPPED
+        checkpoint = self.find_checkpoint(item, now)
         del self.runs[item.task]
         self.refused_up_to[item.task] = max(
             item.run, self.refused_up_to.get(item.task, 0)
