Bound the memory of accepted jobs

Seen: one client with a valid key and requests inside all limits took the memory of the VMs. One daemon, settings of 110 MB, 40 connections: jobs of 2,950 tasks 288 MB in 6 s and 1,400 MB in 15 s, when another client account got 503; jobs of 300 steps 195 MB in 15 s; jobs with lists of 100,000 indices 177 MB in 8 s.

Cause: each job has limits, all together had none. Every daemon keeps all jobs of the store, the planner also their tasks (1.6 to 2.5 KB each).

Change: `JobBudget` adds up what the jobs of the ledger take. A job beyond the bound, or beyond half of it for its account, is refused with 429 before it is stored; with 504 where an earlier append may have stored it. Room is reserved before the append. The bound is 0.4 of the memory above 60 MB, of 200 MB at most, as VMs of all sizes keep the same jobs. Gauges, `jobs.no_room` and `jobs.room_returned` show it.

Why it works: nothing else grows with jobs, and what is refused is never stored.

--- a/src/cardamomdyke/control/admissions.py
+++ b/src/cardamomdyke/control/admissions.py
@@ -2,7 +2,13 @@
 
 from dataclasses import replace
 
-from cardamomdyke.control.answers import Refusal, make_admission_refusal
+from cardamomdyke.control.answers import (
+    NOT_KNOWN,
+    NOT_REACHED,
+    Refusal,
+    make_admission_refusal,
+    make_room_refusal,
+)
 from cardamomdyke.control.clock import read_clock
 from cardamomdyke.control.context import Context
 from cardamomdyke.jobs.ledger import read_progress
@@ -71,6 +77,52 @@
     return make_admission_refusal(refusal)
 
 
+async def find_room_refusal(
+    context: Context, record: JobRecord, *, is_relayed: bool
+) -> Refusal | None:
+    """Return why a job is refused for lack of memory, or None.
+
+    Parameters
+    ----------
+    context : Context
+        Shared objects of the daemon.
+    record : JobRecord
+        The submitted job.
+    is_relayed : bool
+        True if another VM may have appended the job before.
+    """
+    budget = context.job_budget
+    if budget.has_room(record):
+        note_room(context, record.account, has_room=True)
+        return None
+    may_be_stored = is_relayed or record.job_id in context.admission.uncertain
+    if not await context.work_feed.catch_up():
+        return NOT_KNOWN if may_be_stored else NOT_REACHED
+    if record.job_id in context.ledger.jobs or budget.has_room(record):
+        return None
+    note_room(context, record.account, has_room=False)
+    return NOT_KNOWN if may_be_stored else make_room_refusal(record.account)
+
+
+def note_room(context: Context, account: str, *, has_room: bool) -> None:
+    """Log the begin and the end of refusals of an account for lack of memory."""
+    full = context.job_budget.full_accounts
+    if has_room == (account not in full):
+        return
+    if has_room:
+        full.discard(account)
+    else:
+        full.add(account)
+    held_bytes = context.job_budget.held_bytes
+    context.journal.write(
+        "jobs.room_returned" if has_room else "jobs.no_room",
+        account,
+        account_bytes=held_bytes[account],
+        held_bytes=held_bytes.total(),
+        most_bytes=context.job_budget.most_bytes,
+    )
+
+
 def decide(context: Context, record: JobRecord) -> AdmissionRefusal | None:
     """Decide on a new job by what is known now."""
     view = context.admission
--- a/src/cardamomdyke/control/answers.py
+++ b/src/cardamomdyke/control/answers.py
@@ -9,6 +9,8 @@
 # Retry-After of refusals because of a fault or a missing configuration. Callers give up
 # 3 s after their first try, so a longer pause would cost them their last tries.
 RETRY_AFTER_SECONDS = 1
+# Jobs make room when they end, and callers get one more try within their 3 s.
+ROOM_RETRY_AFTER_SECONDS = 2
 NO_JOB_KIND = "no_job"
 
 
@@ -171,6 +173,19 @@
     )
 
 
+def make_room_refusal(account: str) -> Refusal:
+    """Return the refusal of a job for which the daemons have no memory."""
+    owner = f"client account {account}" if account else "anonymous callers"
+    detail = f"too many jobs and tasks are accepted, of {owner} or in all"
+    return Refusal(
+        429,
+        "no_room_for_job",
+        f"{detail}; the request has not run",
+        "send the request again once jobs have ended, or cancel some",
+        ROOM_RETRY_AFTER_SECONDS,
+    )
+
+
 def make_append_refusal(fault: StoreFault) -> Refusal:
     """Return the refusal that says what is certain after a failed append."""
     if fault.kind is StoreFaultKind.FENCED:
--- a/src/cardamomdyke/control/app.py
+++ b/src/cardamomdyke/control/app.py
@@ -32,6 +32,7 @@
 from cardamomdyke.control.reload import Reloader
 from cardamomdyke.control.supervision import run_supervised
 from cardamomdyke.control.terms import PlannerRunner
+from cardamomdyke.jobs.budget import make_job_budget
 from cardamomdyke.jobs.ledger import Ledger, apply_record, is_waiting
 from cardamomdyke.jobs.retention import make_retention
 from cardamomdyke.membership.peers import (
@@ -140,6 +141,7 @@
         if change.detail:
             context.journal.write("record.malformed", record.key, detail=change.detail)
         context.admission.handle_change(context.ledger, change)
+        context.job_budget.handle_change(context.ledger, change)
         planner_runner.handle_change(change)
 
     def reset() -> None:
@@ -147,6 +149,7 @@
         context.silences.silences.clear()
         context.retention.clear()
         context.admission.clear()
+        context.job_budget.clear()
 
     context.work_feed.apply = apply
     context.work_feed.reset = reset
@@ -246,6 +249,8 @@
             0 if tables is None else tables.version,
             context.slow_servers if leadership.term else 0,
             tuple(context.admission.summaries.list_waits(read_clock())),
+            context.job_budget.held_bytes.total(),
+            context.job_budget.most_bytes,
         )
 
     if not port:
@@ -304,7 +309,11 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
     progress = Progress()
-    guard = make_node_guard(context, requests or RequestLimits())
+    limits = requests or RequestLimits()
+    context.job_budget = make_job_budget(
+        settings.limits.memory_mb, limits.job_share, limits.account_share
+    )
+    guard = make_node_guard(context, limits)
     receiver = make_request_receiver(context, guard)
     servers = start_servers(context, peer, receiver, progress, guard)
     servers += start_metrics(context, leadership, metrics_port, guard)
--- a/src/cardamomdyke/control/context.py
+++ b/src/cardamomdyke/control/context.py
@@ -11,6 +11,7 @@
 from cardamomdyke.control.feeds import TopicFeed
 from cardamomdyke.control.journal import Journal
 from cardamomdyke.control.metrics import Metrics
+from cardamomdyke.jobs.budget import JobBudget, make_job_budget
 from cardamomdyke.jobs.ledger import Ledger
 from cardamomdyke.jobs.retention import Retention
 from cardamomdyke.membership.peers import Peer
@@ -182,6 +183,8 @@
         Servers that planners have recorded as silent.
     admission : AdmissionView
         What admissions are decided by.
+    job_budget : JobBudget
+        Memory of the jobs in the store.
     heartbeat_fence : int
         Fencing token in the newest heartbeat of a planner; 0 before the first.
     slow_servers : int
@@ -210,6 +213,7 @@
     appender: Appender
     silences: SilenceLedger = field(default_factory=SilenceLedger)
     admission: AdmissionView = field(default_factory=AdmissionView)
+    job_budget: JobBudget = field(default_factory=make_job_budget)
     heartbeat_fence: int = 0
     slow_servers: int = 0
     peers: dict[str, Peer] = field(default_factory=dict)
--- a/src/cardamomdyke/control/metrics.py
+++ b/src/cardamomdyke/control/metrics.py
@@ -40,6 +40,8 @@
         Backend servers that the planner found slow; 0 while another daemon plans.
     expected_waits : tuple of (str, int, float)
         Pool, priority and longest expected wait in seconds, from summaries in force.
+    jobs_held_bytes, jobs_most_bytes : int
+        Memory that jobs count for, and its bound.
     """
 
     term: int
@@ -49,6 +51,8 @@
     tables_version: int
     slow_servers: int = 0
     expected_waits: tuple[tuple[str, int, float], ...] = ()
+    jobs_held_bytes: int = 0
+    jobs_most_bytes: int = 0
 
 
 @dataclass
@@ -162,6 +166,16 @@
                 "Servers that the planner found slow.",
                 gauges.slow_servers,
             ),
+            (
+                "jobs_held_bytes",
+                "Memory that jobs count for.",
+                gauges.jobs_held_bytes,
+            ),
+            (
+                "jobs_most_bytes",
+                "Most memory that jobs may count for.",
+                gauges.jobs_most_bytes,
+            ),
         ):
             yield GaugeMetricFamily(f"cardamomdyke_{name}", text, value=value)
         waits = GaugeMetricFamily(
--- a/src/cardamomdyke/control/processor.py
+++ b/src/cardamomdyke/control/processor.py
@@ -7,7 +7,10 @@
 
 from expression import Error, Ok, Result
 
-from cardamomdyke.control.admissions import find_admission_refusal
+from cardamomdyke.control.admissions import (
+    find_admission_refusal,
+    find_room_refusal,
+)
 from cardamomdyke.control.answers import (
     NO_JOB_KIND,
     NO_TABLES,
@@ -356,10 +359,18 @@
             return self.refuse(record.job_id, make_large_job(size, limit))
         if not check_contact(self.context):
             return self.refuse(record.job_id, NOT_REACHED)
+        refusal = await find_room_refusal(
+            self.context, record, is_relayed=command.relayed
+        )
+        if refusal is not None:
+            return self.refuse(record.job_id, refusal)
+        budget = self.context.job_budget
+        budget.reserve(record, read_clock())
         if not command.relayed:
             refusal = await find_admission_refusal(self.context, record)
-            if refusal is not None:
-                return self.refuse(record.job_id, refusal)
+        if refusal is not None:
+            budget.cancel(record.job_id)
+            return self.refuse(record.job_id, refusal)
         jobs = self.context.ledger.jobs
         if record.job_id in jobs:
             self.context.journal.write("job.repeated", record.job_id)
@@ -372,6 +383,8 @@
         )
         if refusal is None or refusal.code != NOT_KNOWN.code:
             uncertain.discard(record.job_id)
+        if refusal is not None and refusal.code != NOT_KNOWN.code:
+            budget.cancel(record.job_id)
         if refusal is not None:
             return self.refuse(record.job_id, refusal)
         self.context.journal.write(
--- a/src/cardamomdyke/protocol/limits.py
+++ b/src/cardamomdyke/protocol/limits.py
@@ -104,6 +104,8 @@
         Largest part of a port's memory for one client account.
     body_buffer_bytes : int
         Receive buffer of a connection that sends a longer body, while there is room.
+    job_share : float
+        Largest part for accepted jobs of the memory above that of an idle daemon.
     """
 
     header_bytes: int = 65_536
@@ -115,6 +117,7 @@
     address_share: float = 0.75
     account_share: float = 0.5
     body_buffer_bytes: int = 32_768
+    job_share: float = 0.4
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/limits/crowd.py
+++ b/tests/limits/crowd.py
@@ -98,8 +98,9 @@
     connections: int = CONNECTIONS,
     pauses: Iterable[float] = (),
     sources: int = 1,
+    seconds: float = PRESS_SECONDS,
 ) -> Footprint:
-    """Let a crowd act on a port for `PRESS_SECONDS`; return the footprint.
+    """Let a crowd act on a port; return the footprint.
 
     Parameters
     ----------
@@ -116,8 +117,12 @@
         the start; it is resumed at the end.
     sources : int
         Client addresses of the crowd.
+    seconds : float
+        Time after which the clients stop.
     """
-    return asyncio.run(press_port(address, act, pid, connections, pauses, sources))
+    return asyncio.run(
+        press_port(address, act, pid, connections, pauses, sources, seconds)
+    )
 
 
 async def press_port(
@@ -127,18 +132,19 @@
     connections: int,
     pauses: Iterable[float] = (),
     sources: int = 1,
+    seconds: float = PRESS_SECONDS,
 ) -> Footprint:
     """Open all connections, act on each, and sample the process meanwhile."""
     footprint = Footprint(pid)
     signals = [signal.SIGSTOP, signal.SIGCONT]
     loop = asyncio.get_running_loop()
-    for number, seconds in enumerate(pauses):
-        loop.call_later(seconds, send_signal, pid, signals[number % 2])
+    for number, pause_at in enumerate(pauses):
+        loop.call_later(pause_at, send_signal, pid, signals[number % 2])
     clients = [
         asyncio.ensure_future(run_client(address, act, number % sources))
         for number in range(connections)
     ]
-    deadline = asyncio.get_running_loop().time() + PRESS_SECONDS
+    deadline = asyncio.get_running_loop().time() + seconds
     while asyncio.get_running_loop().time() < deadline:
         try:
             footprint.read()
@@ -172,7 +178,7 @@
             await act(connection)
         except OSError:
             return
-        await asyncio.sleep(PRESS_SECONDS)
+        await asyncio.Event().wait()
 
 
 def send(*pieces: bytes, pause_seconds: float = 0.0) -> Press:
--- a/tests/limits/test_crowds.py
+++ b/tests/limits/test_crowds.py
@@ -20,6 +20,7 @@
 )
 from tests.limits.crowd import (
     CONNECTIONS,
+    PRESS_SECONDS,
     Press,
     press,
     send,
@@ -88,13 +89,14 @@
     pauses: Iterable[float] = (),
     sources: int = 1,
     vm: str = "vm0",
+    seconds: float = PRESS_SECONDS,
 ) -> None:
     """Press a port, and check the process, its footprint and one request.
 
     The request is one of a client account that takes no part in the crowd.
     """
     process = nodes.deployment.processes[vm]
-    footprint = press(address, act, process.pid, connections, pauses, sources)
+    footprint = press(address, act, process.pid, connections, pauses, sources, seconds)
     assert process.poll() is None
     path = PATH_PREFIX + "00000000000000b2"
     status, _ = nodes.call(vm, "POST", path, make_body(), OTHER_KEY)
