--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -10,3 +10,6 @@
 cp review/harness-3/*.py "$out/"
 find "$out" -name __pycache__ -prune -exec rm -rf {} +
 python3 -m compileall -q "$out"
+# Case 13 starts the stand-ins of the second review, which run from their sources.
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="target/deps:src:review/second" \
+    python3 -c "import harness, standin"
