--- a/review/harness-3/harness.py
+++ b/review/harness-3/harness.py
@@ -11,6 +11,7 @@
 import tempfile
 import time
 import tomllib
+from contextlib import ExitStack
 from pathlib import Path
 from typing import Any
 
@@ -51,11 +52,13 @@
     """The case could not run, which says nothing about the rule."""
 
 
-def find_port(host: str) -> int:
-    """Return a free port of a loopback address."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return int(probe.getsockname()[1])
+def find_ports(host: str, count: int) -> list[int]:
+    """Return different free ports of a loopback address."""
+    with ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((host, 0))
+        return [int(probe.getsockname()[1]) for probe in probes]
 
 
 def call_http(
@@ -109,10 +112,10 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.hosts = {f"vm{number}": f"127.0.1.{number + 1}" for number in range(vms)}
         self.settings: dict[str, dict[str, Any]] = {}
-        self.store = f"127.0.0.1:{find_port('127.0.0.1')}"
+        store_port, *ports = find_ports("127.0.0.1", servers + 1)
+        self.store = f"127.0.0.1:{store_port}"
         self.servers = {
-            f"s{number}": f"127.0.0.1:{find_port('127.0.0.1')}"
-            for number in range(servers)
+            f"s{number}": f"127.0.0.1:{port}" for number, port in enumerate(ports)
         }
         self.tables: dict[str, Any] = {
             "version": 7,
@@ -193,7 +196,7 @@
         number = list(self.hosts).index(vm)
         host = self.hosts[vm]
         if vm not in self.settings:
-            callers, readiness, peers = (find_port(host) for _ in range(3))
+            callers, readiness, peers = find_ports(host, 3)
             self.settings[vm] = {
                 "node_name": vm,
                 "role": "node",
