--- a/review/harness-3/harness.py
+++ b/review/harness-3/harness.py
@@ -329,21 +329,28 @@
         self.temporary.cleanup()
 
 
+def stop_case(number: int, frame: object) -> None:
+    """Handle a signal from outside, such as that of the time limit."""
+    raise CannotRunError(f"stopped by signal {number}")
+
+
 def run_case(folder: Path, play: Any, **options: Any) -> int:
     """Play a case and return its exit code: 0 held, 1 broken, 2 could not run."""
+    signal.signal(signal.SIGTERM, stop_case)
     deployment = Deployment(folder, **options)
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    code = 2
     try:
         deployment.record(f"disruption: {'yes' if trouble else 'no'}")
         deployment.start()
         faults = play(deployment, trouble)
-    except CannotRunError as error:
-        deployment.record(f"could not run: {error}")
-        return 2
-    else:
         for fault in faults:
             deployment.record(f"BROKEN {fault}")
         deployment.record("the rule was broken" if faults else "the rule held")
-        return 1 if faults else 0
+        code = 1 if faults else 0
+    except Exception as error:
+        deployment.record(f"could not run: {error!r}")
     finally:
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
         deployment.stop()
+    return code
